Build the thin whole path

Change: pure engine of an entry host (cookies that name the one incarnation that may accept a request, rendezvous placement, slots and queues, feeds, heartbeats, handover at a planned stop, bundles that never go back), drivers round it, operators' client, stand-ins and a demo.

Ruled out: CoAP over UDP towards targets. The network may double a datagram and nothing says that targets remove duplicates, so a non-idempotent request would run twice. TCP (RFC 8323) doubles nothing.

--- /dev/null
+++ b/caller/coder.go
@@ -0,0 +1,98 @@
+package caller
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+	"github.com/plgd-dev/go-coap/v3/udp/coder"
+)
+
+func (k *Caller) encode(r Request, token []byte, extra message.Options) ([]byte, error) {
+	os := append(message.Options{}, extra...)
+	for _, p := range strings.Split(strings.Trim(r.Path, "/"), "/") {
+		os = append(os, message.Option{ID: message.URIPath, Value: []byte(p)})
+	}
+	for _, q := range r.Queries {
+		os = append(os, message.Option{ID: message.URIQuery, Value: []byte(q)})
+	}
+	if r.Deadline > 0 {
+		os = append(os, message.Option{ID: optionDeadline, Value: minimal(uint64(r.Deadline / time.Millisecond))})
+	}
+	if c := k.currentCookie(); len(c) > 0 {
+		os = append(os, message.Option{ID: optionEcho, Value: c})
+	}
+	slices.SortStableFunc(os, func(x, y message.Option) int { return cmp.Compare(x.ID, y.ID) })
+	return encode(message.Message{
+		Token:     token,
+		Options:   os,
+		Code:      r.Method,
+		Payload:   r.Payload,
+		MessageID: k.nextMessageID(),
+		Type:      message.Confirmable,
+	})
+}
+
+func encode(m message.Message) (b []byte, err error) {
+	defer func() { err = errors.Wrap(err, "encode message") }()
+	n, err := coder.DefaultCoder.Size(m)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	b = make([]byte, n)
+	_, err = coder.DefaultCoder.Encode(m, b)
+	return b, errors.WithStack(err)
+}
+
+func toAnswer(m *message.Message) (a Answer) {
+	a.Code = m.Code
+	a.Payload = m.Payload
+	for i := range m.Options {
+		v := m.Options[i].Value
+		switch m.Options[i].ID {
+		case message.ETag:
+			a.ETag = v
+		case message.MaxAge:
+			a.RetryAfter = time.Duration(number(v)) * time.Second
+		case message.Block2:
+			a.more = number(v)&moreBit != 0
+		case message.Observe:
+			a.observe = true
+			a.sequence = uint32(number(v))
+		case optionEcho:
+			a.echo = v
+		default:
+		}
+	}
+	return a
+}
+
+func number(v []byte) (n uint64) {
+	for _, x := range v {
+		n = n<<8 | uint64(x)
+	}
+	return n
+}
+
+func minimal(n uint64) (v []byte) {
+	for shift := 56; shift >= 0; shift -= 8 {
+		if b := byte(n >> shift); b != 0 || len(v) > 0 {
+			v = append(v, b)
+		}
+	}
+	return v
+}
+
+// Get returns a request for idempotent reading.
+func Get(path string, queries ...string) Request {
+	return Request{Method: codes.GET, Path: path, Queries: queries}
+}
+
+// Post returns a request that is not idempotent.
+func Post(path string, payload []byte) Request {
+	return Request{Method: codes.POST, Path: path, Payload: payload}
+}
--- /dev/null
+++ b/cmd/cactuspin/main.go
@@ -0,0 +1,10 @@
+// Command cactuspin is the operators' client.
+package main
+
+import (
+	"os"
+
+	"github.com/cactuspin/cactuspin/internal/app/operator"
+)
+
+func main() { os.Exit(operator.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/cmd/cactuspind/main.go
@@ -0,0 +1,10 @@
+// Command cactuspind is the daemon of an entry host.
+package main
+
+import (
+	"os"
+
+	"github.com/cactuspin/cactuspin/internal/app/daemon"
+)
+
+func main() { os.Exit(daemon.Main(os.Args[1:], os.Stderr)) }
--- /dev/null
+++ b/internal/admission/dispatcher/request.go
@@ -0,0 +1,161 @@
+package dispatcher
+
+import (
+	"encoding/binary"
+	"hash/fnv"
+	"net/netip"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/admission/recorder"
+	"github.com/cactuspin/cactuspin/internal/routing/sealer"
+)
+
+// Numbers of the CoAP options that a host looks at (RFC 7252, RFC 7959).
+const (
+	optionETag   = 4
+	optionBlock2 = 23
+)
+
+// Judge takes a request whose cookie names an authority of this host.
+func (d *Dispatcher) Judge(now cactuspin.Time, r cactuspin.Request, c sealer.Cookie, out *cactuspin.Actions) {
+	records := d.authorities[c.Incarnation]
+	if records == nil {
+		return
+	}
+	key := requestKey(&r, uint64(c.Flow))
+	rec, verdict := records.Claim(now, key, c.Issued)
+	j := &job{request: r, records: records, key: key}
+	switch verdict {
+	case recorder.VerdictTooOld:
+		d.judgeTooOld(now, j, out)
+	case recorder.VerdictKnown:
+		d.repeat(now, j, rec, out)
+	case recorder.VerdictNew:
+		d.accept(now, j, c, out)
+	}
+}
+
+// Take takes an idempotent request without a cookie.
+func (d *Dispatcher) Take(now cactuspin.Time, r cactuspin.Request, out *cactuspin.Actions) {
+	if r.Observe != cactuspin.ObserveNone {
+		d.observe(now, r, out)
+		return
+	}
+	key := requestKey(&r, addressKey(r.Caller))
+	j := &job{request: r, key: key}
+	if _, ok := d.running[key]; ok {
+		d.decide(cactuspin.DecisionRepeat, j, "under way", out)
+		return
+	}
+	d.running[key] = j
+	d.begin(now, j, r.Deadline, out)
+}
+
+func (d *Dispatcher) accept(now cactuspin.Time, j *job, c sealer.Cookie, out *cactuspin.Actions) {
+	if j.request.Service != d.service.Address || c.Service != d.cfg.Service {
+		d.settle(j, cactuspin.Record{State: cactuspin.RecordNotRun}, out)
+		d.decide(cactuspin.DecisionRefuse, j, "address belongs to another service", out)
+		d.answerNotRun(now, j, "not run: the address belongs to another service now", out)
+		return
+	}
+	d.begin(now, j, j.request.Deadline, out)
+}
+
+// judgeTooOld answers a request whose record may have been forgotten. An
+// idempotent one simply runs.
+func (d *Dispatcher) judgeTooOld(now cactuspin.Time, j *job, out *cactuspin.Actions) {
+	if j.request.Method.Idempotent() {
+		d.Take(now, j.request, out)
+		return
+	}
+	d.decide(cactuspin.DecisionRefuse, j, "cookie too old", out)
+	d.answerUnknown(now, j, "may have run: the cookie is too old to tell", out)
+}
+
+// repeat answers a copy of a request that was judged before.
+func (d *Dispatcher) repeat(now cactuspin.Time, j *job, rec *cactuspin.Record, out *cactuspin.Actions) {
+	d.decide(cactuspin.DecisionRepeat, j, "known request", out)
+	switch rec.State {
+	case cactuspin.RecordNotRun:
+		d.answerNotRun(now, j, "not run", out)
+	case cactuspin.RecordUnknown:
+		d.answerUnknown(now, j, "may have run", out)
+	case cactuspin.RecordDone:
+		if j.request.Method.Idempotent() {
+			d.Take(now, j.request, out)
+			return
+		}
+		d.answer(now, j, rec.Code, rec.Options, rec.Payload, out)
+	case cactuspin.RecordPending, cactuspin.RecordNone:
+	}
+}
+
+// requestKey identifies a request within a flow. A retransmission is the same
+// byte for byte, whatever address it comes from.
+func requestKey(r *cactuspin.Request, flow uint64) uint64 {
+	h := fnv.New64a()
+	var b [8 + 1 + 2 + cactuspin.MaxTokenLength]byte
+	binary.BigEndian.PutUint64(b[:], flow)
+	b[8] = byte(r.Method)
+	binary.BigEndian.PutUint16(b[9:], r.MessageID)
+	copy(b[11:], r.Token.Slice())
+	_, _ = h.Write(b[:])
+	_, _ = h.Write([]byte(r.Path))
+	_, _ = h.Write(r.Payload)
+	return h.Sum64()
+}
+
+// blockKey identifies the answer that a block belongs to.
+func blockKey(r *cactuspin.Request) uint64 {
+	h := fnv.New64a()
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], addressKey(r.Caller))
+	_, _ = h.Write(b[:])
+	_, _ = h.Write([]byte(r.Path))
+	return h.Sum64()
+}
+
+func addressKey(a netip.AddrPort) uint64 {
+	h := fnv.New64a()
+	b := a.Addr().As16()
+	_, _ = h.Write(b[:])
+	_, _ = h.Write([]byte{byte(a.Port() >> 8), byte(a.Port())})
+	return h.Sum64()
+}
+
+// moreBlocks tells whether a Block2 option announces more blocks (RFC 7959,
+// section 2.2).
+func moreBlocks(options []cactuspin.Option) bool {
+	const moreBit = 1 << 3
+	for _, o := range options {
+		if o.Number == optionBlock2 && len(o.Value) > 0 {
+			return o.Value[len(o.Value)-1]&moreBit != 0
+		}
+	}
+	return false
+}
+
+// laterBlock tells whether a Block2 option has a block number above 0.
+func laterBlock(options []cactuspin.Option) bool {
+	const numberShift = 4
+	for _, o := range options {
+		if o.Number != optionBlock2 {
+			continue
+		}
+		var v uint32
+		for _, x := range o.Value {
+			v = v<<8 | uint32(x)
+		}
+		return v>>numberShift > 0
+	}
+	return false
+}
+
+func hasETag(options []cactuspin.Option) bool {
+	for _, o := range options {
+		if o.Number == optionETag && len(o.Value) > 0 {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/host/engine/explainer.go
@@ -0,0 +1,59 @@
+package engine
+
+import (
+	"net/netip"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/routing/placer"
+)
+
+// Explanation tells where a flow would go now, and under which bundle.
+type Explanation struct {
+	Version cactuspin.BundleVersion `json:"version"`
+	Service string                  `json:"service,omitempty"`
+	Kind    string                  `json:"kind,omitempty"`
+	Zone    cactuspin.ZoneID        `json:"zone,omitempty"`
+	Host    cactuspin.HostID        `json:"host,omitempty"`
+	Targets []cactuspin.Target      `json:"targets,omitempty"`
+	Reason  string                  `json:"reason"`
+}
+
+// Explain tells where this host would send a new flow. Targets are listed when
+// this host itself is the flow's home.
+func (e *Engine) Explain(caller, service netip.AddrPort, method, path string) (x Explanation) {
+	v := e.View()
+	x.Version = v.Version
+	sv := v.At(service)
+	if sv == nil {
+		x.Reason = "no service at this address"
+		return x
+	}
+	x.Service = sv.Service.Name
+	if k := sv.Service.KindFor(methodByName(method), path); k >= 0 {
+		x.Kind = sv.Service.Kinds[k].Name
+	}
+	h, ok := sv.Home(placer.FlowHash(caller, service), nil)
+	if !ok {
+		x.Reason = "no host owns a target of the service"
+		return x
+	}
+	m, _ := v.Member(h)
+	x.Host = h
+	x.Zone = m.Zone
+	x.Reason = "highest score among the hosts that own targets"
+	if h == e.cfg.Self {
+		for _, t := range sv.Owned {
+			x.Targets = append(x.Targets, t.Address)
+		}
+	}
+	return x
+}
+
+func methodByName(name string) cactuspin.Method {
+	for _, m := range []cactuspin.Method{cactuspin.MethodPost, cactuspin.MethodPut, cactuspin.MethodDelete} {
+		if m.String() == name {
+			return m
+		}
+	}
+	return cactuspin.MethodGet
+}
--- /dev/null
+++ b/internal/membership/prober/prober.go
@@ -0,0 +1,231 @@
+// Package prober decides from heartbeats which hosts answer. Nothing that must
+// be safe rests on it: a wrong view costs a hop or a delay.
+package prober
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/routing/placer"
+)
+
+// Times of the heartbeats.
+const (
+	// Period is the time between two heartbeats to the same peer.
+	Period = 300 * time.Millisecond
+	// SuspectAfter is the silence after which a host gets no new flows.
+	SuspectAfter = 1000 * time.Millisecond
+	// GoneAfter is the silence after which a host's authority counts as lost.
+	GoneAfter = 3 * time.Second
+)
+
+// Status is what is known of an incarnation of a host.
+type Status uint8
+
+// The statuses of an incarnation.
+const (
+	// StatusUnknown means that it cannot be told whether the incarnation lives.
+	StatusUnknown Status = iota
+	StatusLive
+	// StatusGone means that it has been silent for long or was replaced.
+	StatusGone
+)
+
+// Config configures a Prober.
+type Config struct {
+	Self        cactuspin.HostID
+	Zone        cactuspin.ZoneID
+	Incarnation cactuspin.Incarnation
+	Start       cactuspin.Time
+}
+
+// Prober holds what a host knows of the others. It is not safe for concurrent
+// use.
+type Prober struct {
+	cfg      Config
+	peers    map[cactuspin.HostID]*peer
+	sent     cactuspin.Time
+	leaving  bool
+	ticked   cactuspin.Time
+	resumed  cactuspin.Time
+	inherits []cactuspin.Inheritance
+}
+
+type peer struct {
+	id        cactuspin.HostID
+	heartbeat cactuspin.Heartbeat
+	heard     cactuspin.Time
+	live      bool
+	reported  bool
+}
+
+// New returns a Prober that knows no other host.
+func New(c Config) *Prober {
+	return &Prober{cfg: c, peers: make(map[cactuspin.HostID]*peer), ticked: c.Start, resumed: c.Start}
+}
+
+// Learn adds hosts that may exist.
+func (p *Prober) Learn(ids ...cactuspin.HostID) {
+	for _, id := range ids {
+		if id == p.cfg.Self || p.peers[id] != nil {
+			continue
+		}
+		p.peers[id] = &peer{id: id}
+	}
+}
+
+// Leave makes this host report that it is about to stop.
+func (p *Prober) Leave() { p.leaving = true }
+
+// Leaving tells whether this host is about to stop.
+func (p *Prober) Leaving() bool { return p.leaving }
+
+// Inherit makes this host report an authority that it holds for another.
+func (p *Prober) Inherit(i cactuspin.Inheritance) { p.inherits = append(p.inherits, i) }
+
+// Inherits returns the authorities that this host reports.
+func (p *Prober) Inherits() []cactuspin.Inheritance { return p.inherits }
+
+// Hear takes a heartbeat. changed tells whether the members changed.
+func (p *Prober) Hear(now cactuspin.Time, from cactuspin.HostID, h cactuspin.Heartbeat) (changed bool) {
+	p.Learn(from)
+	x, ok := p.peers[from]
+	if !ok {
+		return false
+	}
+	changed = !x.live ||
+		x.heartbeat.Incarnation != h.Incarnation ||
+		x.heartbeat.Leaving != h.Leaving ||
+		len(x.heartbeat.Inherited) != len(h.Inherited)
+	x.heartbeat = h
+	x.heard = now
+	x.live = true
+	x.reported = false
+	return changed
+}
+
+// Tick finds the peers that fell silent. gone are those whose authority counts
+// as lost from now on; each is reported once.
+func (p *Prober) Tick(now cactuspin.Time) (changed bool, gone []cactuspin.HostID) {
+	p.noticePause(now)
+	for _, id := range p.ids() {
+		x := p.peers[id]
+		silence := now.Sub(x.heard)
+		if x.live && silence >= SuspectAfter && now.Sub(p.resumed) >= SuspectAfter {
+			x.live = false
+			changed = true
+		}
+		if x.heard > 0 && !x.live && !x.reported && p.silent(now, x) {
+			x.reported = true
+			gone = append(gone, id)
+		}
+	}
+	return changed, gone
+}
+
+// noticePause gives the others time to be heard after this host was paused.
+func (p *Prober) noticePause(now cactuspin.Time) {
+	if now.Sub(p.ticked) >= SuspectAfter/2 {
+		p.resumed = now
+	}
+	p.ticked = now
+}
+
+// Due returns the peers that a heartbeat is to be sent to now.
+func (p *Prober) Due(now cactuspin.Time) []cactuspin.HostID {
+	if now.Sub(p.sent) < Period {
+		return nil
+	}
+	p.sent = now
+	return p.ids()
+}
+
+// Heartbeat returns this host's own heartbeat without its loads.
+func (p *Prober) Heartbeat() cactuspin.Heartbeat {
+	return cactuspin.Heartbeat{
+		Incarnation: p.cfg.Incarnation,
+		Zone:        p.cfg.Zone,
+		Leaving:     p.leaving,
+		Inherited:   p.inherits,
+	}
+}
+
+// Status tells what is known of an incarnation of a host.
+func (p *Prober) Status(now cactuspin.Time, h cactuspin.HostID, i cactuspin.Incarnation) Status {
+	x, ok := p.peers[h]
+	if !ok || x.heard == 0 {
+		if now.Sub(p.cfg.Start) >= GoneAfter && now.Sub(p.resumed) >= GoneAfter {
+			return StatusGone
+		}
+		return StatusUnknown
+	}
+	if x.heartbeat.Incarnation != i {
+		return StatusGone
+	}
+	if x.live {
+		return StatusLive
+	}
+	if p.silent(now, x) {
+		return StatusGone
+	}
+	return StatusUnknown
+}
+
+func (p *Prober) silent(now cactuspin.Time, x *peer) bool {
+	return now.Sub(x.heard) >= GoneAfter && now.Sub(p.resumed) >= GoneAfter
+}
+
+// Members returns this host and all that answer.
+func (p *Prober) Members() (ms []placer.Member) {
+	ms = append(ms, placer.Member{
+		Host:        p.cfg.Self,
+		Zone:        p.cfg.Zone,
+		Incarnation: p.cfg.Incarnation,
+		Leaving:     p.leaving,
+	})
+	for _, id := range p.ids() {
+		x := p.peers[id]
+		if !x.live {
+			continue
+		}
+		ms = append(ms, placer.Member{
+			Host:        id,
+			Zone:        x.heartbeat.Zone,
+			Incarnation: x.heartbeat.Incarnation,
+			Leaving:     x.heartbeat.Leaving,
+		})
+	}
+	return ms
+}
+
+// Heirs returns which host holds the authority of which ended incarnation.
+func (p *Prober) Heirs() map[cactuspin.Incarnation]cactuspin.HostID {
+	heirs := make(map[cactuspin.Incarnation]cactuspin.HostID)
+	for _, i := range p.inherits {
+		heirs[i.Incarnation] = p.cfg.Self
+	}
+	for _, id := range p.ids() {
+		if x := p.peers[id]; x.live {
+			for _, i := range x.heartbeat.Inherited {
+				heirs[i.Incarnation] = id
+			}
+		}
+	}
+	return heirs
+}
+
+// ExpireInherits ends the authorities whose cookies are all too old by now.
+func (p *Prober) ExpireInherits(now cactuspin.Time) (ended []cactuspin.Incarnation) {
+	p.inherits = slices.DeleteFunc(p.inherits, func(i cactuspin.Inheritance) bool {
+		old := now.Seconds() > i.Until
+		if old {
+			ended = append(ended, i.Incarnation)
+		}
+		return old
+	})
+	return ended
+}
+
+func (p *Prober) ids() []cactuspin.HostID { return slices.Sorted(maps.Keys(p.peers)) }
--- /dev/null
+++ b/internal/routing/placer/placer.go
@@ -0,0 +1,173 @@
+// Package placer decides by rendezvous hashing which host a flow belongs to,
+// which host owns a target and which host a message ID leads to. All hosts with
+// the same view come to the same result.
+package placer
+
+import (
+	"cmp"
+	"math"
+	"net/netip"
+	"slices"
+
+	"github.com/cactuspin/cactuspin"
+)
+
+// Candidate is a host that could take a flow. Weight is the number of slots
+// that it owns for the service.
+type Candidate struct {
+	Host   cactuspin.HostID
+	Zone   cactuspin.ZoneID
+	Weight float64
+}
+
+// FlowHash hashes what is known of a flow before it has a cookie.
+func FlowHash(caller, service netip.AddrPort) uint64 {
+	return mix(addressHash(caller) + 3*addressHash(service))
+}
+
+// Pick returns the candidate with the highest weighted score for the hash,
+// leaving out those for which skip returns true. ok is false when none is left.
+func Pick(hash uint64, cs []Candidate, skip func(cactuspin.HostID) bool) (h cactuspin.HostID, ok bool) {
+	best := math.Inf(-1)
+	for i := range cs {
+		c := &cs[i]
+		if c.Weight <= 0 || (skip != nil && skip(c.Host)) {
+			continue
+		}
+		if x := score(hash, uint64(c.Host), c.Weight); x > best {
+			best = x
+			h = c.Host
+			ok = true
+		}
+	}
+	return h, ok
+}
+
+// PickZone returns the zone with the highest score, weighted by the candidates
+// in it. A flow stays in one zone whichever host its packets reach.
+func PickZone(hash uint64, cs []Candidate) (z cactuspin.ZoneID, ok bool) {
+	best := math.Inf(-1)
+	for i := range cs {
+		if i > 0 && cs[i].Zone == cs[i-1].Zone {
+			continue
+		}
+		w := 0.0
+		for j := i; j < len(cs) && cs[j].Zone == cs[i].Zone; j++ {
+			w += cs[j].Weight
+		}
+		if w <= 0 {
+			continue
+		}
+		if x := score(hash, stringHash(string(cs[i].Zone)), w); x > best {
+			best = x
+			z = cs[i].Zone
+			ok = true
+		}
+	}
+	return z, ok
+}
+
+// SortByZone brings candidates into the order that PickZone expects.
+func SortByZone(cs []Candidate) {
+	slices.SortFunc(cs, func(a, b Candidate) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Host, b.Host))
+	})
+}
+
+// Own spreads targets over hosts. No host owns more than one target above the
+// mean, and a change of hosts moves few targets.
+func Own(targets []cactuspin.Target, hosts []cactuspin.HostID) (owners map[cactuspin.Target]cactuspin.HostID) {
+	owners = make(map[cactuspin.Target]cactuspin.HostID, len(targets))
+	if len(hosts) == 0 {
+		return owners
+	}
+	order := slices.Clone(targets)
+	slices.SortFunc(order, func(a, b cactuspin.Target) int {
+		return cmp.Compare(addressHash(a), addressHash(b))
+	})
+	limit := (len(order) + len(hosts) - 1) / len(hosts)
+	held := make(map[cactuspin.HostID]int, len(hosts))
+	for _, t := range order {
+		h := ownerOf(t, hosts, held, limit)
+		held[h]++
+		owners[t] = h
+	}
+	return owners
+}
+
+func ownerOf(t cactuspin.Target, hosts []cactuspin.HostID, held map[cactuspin.HostID]int, limit int) (h cactuspin.HostID) {
+	var best uint64
+	for _, x := range hosts {
+		if held[x] >= limit {
+			continue
+		}
+		if s := mix(addressHash(t) ^ mix(uint64(x))); s >= best {
+			best = s
+			h = x
+		}
+	}
+	return h
+}
+
+// HostForMessageID returns the host that an empty message with this message ID
+// leads to. The owner of an observation picks message IDs that lead to itself.
+func HostForMessageID(flow uint64, id uint16, hosts []cactuspin.HostID) (h cactuspin.HostID) {
+	var best uint64
+	seed := mix(flow ^ uint64(id)*0x9e3779b97f4a7c15)
+	for _, x := range hosts {
+		if s := mix(seed ^ mix(uint64(x))); s >= best {
+			best = s
+			h = x
+		}
+	}
+	return h
+}
+
+// messageIDs is the number of different message IDs (RFC 7252, section 3).
+const messageIDs = 1 << 16
+
+// MessageIDFor returns the first message ID from start on that leads to self.
+// When none does it returns start.
+func MessageIDFor(flow uint64, start uint16, self cactuspin.HostID, hosts []cactuspin.HostID) uint16 {
+	id := start
+	for range messageIDs {
+		if HostForMessageID(flow, id, hosts) == self {
+			return id
+		}
+		id++
+	}
+	return start
+}
+
+// score is the weighted rendezvous score: -weight / ln(u) with u in (0, 1).
+func score(hash, node uint64, weight float64) float64 {
+	h := mix(hash ^ mix(node))
+	u := (float64(h>>11) + 0.5) / (1 << 53)
+	return -weight / math.Log(u)
+}
+
+func addressHash(a netip.AddrPort) uint64 {
+	b := a.Addr().As16()
+	var h uint64 = 14695981039346656037
+	for _, x := range b {
+		h = (h ^ uint64(x)) * 1099511628211
+	}
+	return mix(h ^ uint64(a.Port())<<32)
+}
+
+func stringHash(s string) uint64 {
+	var h uint64 = 14695981039346656037
+	for i := range len(s) {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return h
+}
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- /dev/null
+++ b/internal/server/listener/listener.go
@@ -0,0 +1,125 @@
+// Package listener receives callers' datagrams from the fabric and sends answers
+// to it.
+package listener
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/edge/translator"
+	"github.com/cactuspin/cactuspin/internal/server/provider"
+)
+
+// receiveBuffer is the size of the socket's buffer in bytes.
+const receiveBuffer = 8 << 20
+
+// Config configures a Listener.
+type Config struct {
+	provider.Common
+	// Address is where the fabric sends datagrams.
+	Address netip.AddrPort
+	// Fabrics are where answers are sent.
+	Fabrics []netip.AddrPort
+	// Readers is the number of goroutines that read.
+	Readers int
+	Host    cactuspin.Host
+	Handle  provider.Handler
+}
+
+// Listener is the driver of the socket to the fabric.
+type Listener struct {
+	cfg     Config
+	conn    *net.UDPConn
+	next    atomic.Uint32
+	dropped atomic.Uint64
+	done    chan error
+}
+
+// New opens the socket.
+func New(c Config) (l *Listener, err error) {
+	defer func() { err = errors.Wrap(err, "new listener") }()
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(c.Address))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if err := conn.SetReadBuffer(receiveBuffer); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return &Listener{cfg: c, conn: conn, done: make(chan error, 1)}, nil
+}
+
+// Start reads datagrams until the context ends. The end is reported on Done.
+func (l *Listener) Start(ctx context.Context) {
+	g, ctx := errgroup.WithContext(ctx)
+	for range max(1, l.cfg.Readers) {
+		g.Go(func() error { return l.read(ctx) })
+	}
+	g.Go(func() error {
+		<-ctx.Done()
+		return l.conn.Close()
+	})
+	go func() { l.done <- g.Wait() }()
+}
+
+// Done reports the end of the listener.
+func (l *Listener) Done() <-chan error { return l.done }
+
+// Dropped returns the number of datagrams that could not be read as a caller's.
+func (l *Listener) Dropped() uint64 { return l.dropped.Load() }
+
+func (l *Listener) read(ctx context.Context) error {
+	buf := make([]byte, translator.MaxDatagram+1)
+	for {
+		n, _, err := l.conn.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrap(err, "read datagram")
+		}
+		if err := l.take(buf[:n]); err != nil {
+			l.dropped.Add(1)
+			l.cfg.Logger.Debug("listener: datagram dropped", slog.Any("error", err))
+		}
+	}
+}
+
+func (l *Listener) take(b []byte) error {
+	if len(b) > translator.MaxDatagram {
+		return errors.New("datagram is too large")
+	}
+	caller, service, body, err := translator.Unwrap(b)
+	if err != nil {
+		return err
+	}
+	r, err := translator.Decode(caller, service, body)
+	if err != nil {
+		return err
+	}
+	l.cfg.Handle(func(now cactuspin.Time, out *cactuspin.Actions) {
+		if r.Request != nil {
+			l.cfg.Host.Request(now, *r.Request, out)
+			return
+		}
+		l.cfg.Host.Acknowledge(now, *r.Acknowledgement, out)
+	})
+	return nil
+}
+
+// Send gives an answer to the fabric. An error is final: the caller asks again.
+func (l *Listener) Send(a *cactuspin.Answer) error {
+	b, err := translator.EncodeAnswer(a)
+	if err != nil {
+		return err
+	}
+	to := l.cfg.Fabrics[int(l.next.Add(1))%len(l.cfg.Fabrics)]
+	_, err = l.conn.WriteToUDPAddrPort(b, to)
+	return errors.Wrap(err, "send answer")
+}
--- /dev/null
+++ b/internal/server/provider/common.go
@@ -0,0 +1,59 @@
+// Package provider holds what every driver needs: the logger, the clock and the
+// way to hand events to the host.
+package provider
+
+import (
+	"log/slog"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/cactuspin/cactuspin"
+)
+
+// Common is passed to the constructor of every driver.
+type Common struct {
+	Logger *slog.Logger
+	Clock  Clock
+}
+
+// Clock tells the time.
+type Clock func() cactuspin.Time
+
+// NewClock returns a clock that starts at the wall clock's time and from then on
+// never goes back and counts pauses of the machine.
+func NewClock() Clock {
+	start := cactuspin.Time(time.Now().UnixNano())
+	first := bootTime()
+	return func() cactuspin.Time { return start + bootTime() - first }
+}
+
+func bootTime() cactuspin.Time {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		return cactuspin.Time(time.Now().UnixNano())
+	}
+	return cactuspin.Time(ts.Nano())
+}
+
+// Handler runs a decision of the host and performs its actions.
+type Handler func(decide func(now cactuspin.Time, out *cactuspin.Actions))
+
+// actions are reused by all drivers.
+var actions = sync.Pool{New: func() any { return new(cactuspin.Actions) }}
+
+// BorrowActions returns an empty collection of actions.
+func BorrowActions() *cactuspin.Actions {
+	a, ok := actions.Get().(*cactuspin.Actions)
+	if !ok {
+		return new(cactuspin.Actions)
+	}
+	return a
+}
+
+// ReturnActions takes a collection back.
+func ReturnActions(a *cactuspin.Actions) {
+	a.Reset()
+	actions.Put(a)
+}
--- /dev/null
+++ b/internal/standin/loader/report.go
@@ -0,0 +1,89 @@
+package loader
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactuspin/cactuspin/caller"
+	"github.com/cactuspin/cactuspin/internal/standin/responder"
+)
+
+// Judge compares what callers were told with what targets ran.
+func (l *Loader) Judge(targets []responder.Counts) Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	runs := make(map[string]int)
+	wrong := make(map[string]int)
+	var feeds []int
+	for _, t := range targets {
+		for id, n := range t.Runs {
+			runs[id] += n
+		}
+		wrong[t.Service] += t.Wrong
+		if t.Service == l.cfg.OrderService {
+			feeds = append(feeds, t.Registered)
+		}
+	}
+	c := l.report.Kinds[KindOrder]
+	for id, n := range runs {
+		if !strings.HasPrefix(id, l.cfg.Run+"-") {
+			continue
+		}
+		if n > 1 {
+			c.Duplicated++
+		}
+		if l.told[id] == caller.OutcomeNotRun {
+			l.report.FalseRefusals++
+		}
+	}
+	c.Wrong += wrong[l.cfg.OrderService]
+	l.report.Kinds[KindDiagram].Wrong += wrong[l.cfg.DiagramService]
+	l.report.FlowImbalance = imbalance(feeds)
+	return l.report
+}
+
+// imbalance is the largest count over the mean.
+func imbalance(ns []int) float64 {
+	sum, most := 0, 0
+	for _, n := range ns {
+		sum += n
+		most = max(most, n)
+	}
+	if sum == 0 {
+		return 1
+	}
+	return float64(most) * float64(len(ns)) / float64(sum)
+}
+
+// Print writes the report; its last line is one JSON object.
+func (r *Report) Print(w io.Writer) error {
+	format := "%-9s %7s %7s %8s %13s %6s %11s %14s\n"
+	text := fmt.Sprintf(format, "kind", "sent", "whole", "not run", "may have run", "lost", "duplicated", "wrong service")
+	for _, k := range []string{KindOrder, KindDiagram, KindFeed} {
+		c := r.Kinds[k]
+		text += fmt.Sprintf("%-9s %7d %7d %8d %13d %6d %11d %14d\n",
+			k, c.Sent, c.Whole, c.NotRun, c.MayHaveRun, c.Lost, c.Duplicated, c.Wrong)
+	}
+	text += fmt.Sprintf("broken flows %d, feeds set up again %d, refusals that were not true %d, imbalance of flows %.2f\n",
+		r.BrokenFlows, r.Restarts, r.FalseRefusals, r.FlowImbalance)
+	b, err := json.Marshal(r)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	_, err = io.WriteString(w, text+string(b)+"\n")
+	return errors.Wrap(err, "print report")
+}
+
+// Kept tells whether every promise held.
+func (r *Report) Kept() bool {
+	for _, c := range r.Kinds {
+		if c.Duplicated > 0 || c.Wrong > 0 {
+			return false
+		}
+	}
+	return r.FalseRefusals == 0 && r.BrokenFlows == 0
+}
--- /dev/null
+++ b/internal/standin/responder/responder.go
@@ -0,0 +1,195 @@
+// Package responder stands in for a target: a service with slots, a cold start,
+// shedding and observations, over CoAP and TCP. It does not remove duplicates,
+// and counts what it really ran.
+package responder
+
+import (
+	"context"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+)
+
+// Config configures a Responder.
+type Config struct {
+	Address netip.AddrPort
+	// Service is the name that each request carries as the query s=NAME; others
+	// are counted as sent to the wrong service.
+	Service string
+	Slots   int
+	// Work is how long a request holds a slot.
+	Work time.Duration
+	// Cold is how long after the start requests take ColdFactor times as long.
+	Cold time.Duration
+	// Content is the size of a diagram in bytes.
+	Content int
+	// FeedPeriod is the time between two states of a feed.
+	FeedPeriod time.Duration
+	// Epoch makes the entity tag; it changes with a restart.
+	Epoch uint64
+}
+
+// coldFactor is how much slower a cold target is.
+const coldFactor = 5
+
+// Counts are what a target saw.
+type Counts struct {
+	Address netip.AddrPort `json:"address"`
+	Service string         `json:"service"`
+	// Runs counts how often each order ran, by its ID.
+	Runs map[string]int `json:"runs"`
+	// Answered counts all requests that ran.
+	Answered int `json:"answered"`
+	Shed     int `json:"shed"`
+	Wrong    int `json:"wrong"`
+	// Feeds is the number of observations now, Registered of all so far.
+	Feeds      int           `json:"feeds"`
+	Registered int           `json:"registered"`
+	BusyTime   time.Duration `json:"busy_time"`
+}
+
+// Responder is one target.
+type Responder struct {
+	cfg   Config
+	start time.Time
+
+	mu     sync.Mutex
+	counts Counts
+	busy   int
+	state  uint64
+	feeds  map[*feed]struct{}
+	frozen bool
+}
+
+// New returns a target that is not yet listening.
+func New(c Config) *Responder {
+	return &Responder{
+		cfg:    c,
+		start:  time.Now(),
+		feeds:  make(map[*feed]struct{}),
+		counts: Counts{Address: c.Address, Service: c.Service, Runs: make(map[string]int)},
+	}
+}
+
+// Counts returns what the target saw so far.
+func (r *Responder) Counts() Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.counts
+	c.Runs = make(map[string]int, len(r.counts.Runs))
+	for k, v := range r.counts.Runs {
+		c.Runs[k] = v
+	}
+	c.Feeds = len(r.feeds)
+	return c
+}
+
+// Run serves until the context ends.
+func (r *Responder) Run(ctx context.Context) (err error) {
+	defer func() { err = errors.Wrapf(err, "target %s", r.cfg.Address) }()
+	l, err := net.Listen("tcp", r.cfg.Address.String())
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error {
+		<-ctx.Done()
+		return l.Close()
+	})
+	g.Go(func() error { return r.publish(ctx) })
+	g.Go(func() error {
+		for {
+			conn, err := l.Accept()
+			if ctx.Err() != nil {
+				return nil
+			}
+			if err != nil {
+				return errors.WithStack(err)
+			}
+			g.Go(func() error {
+				newSession(r, conn).run(ctx)
+				return nil
+			})
+		}
+	})
+	return g.Wait()
+}
+
+// publish changes the state of the feeds and notifies.
+func (r *Responder) publish(ctx context.Context) error {
+	t := time.NewTicker(r.cfg.FeedPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+		r.mu.Lock()
+		r.state++
+		all := make([]*feed, 0, len(r.feeds))
+		for f := range r.feeds {
+			all = append(all, f)
+		}
+		r.mu.Unlock()
+		for _, f := range all {
+			f.notify()
+		}
+	}
+}
+
+func (r *Responder) stateText() []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return fmt.Appendf(nil, "s=%s state=%d at=%d", r.cfg.Service, r.state, time.Now().UnixMilli())
+}
+
+// begin takes a slot, or returns false when all are taken.
+func (r *Responder) begin() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.busy >= r.cfg.Slots {
+		r.counts.Shed++
+		return false
+	}
+	r.busy++
+	return true
+}
+
+// work holds the slot and counts the run.
+func (r *Responder) work(id string, service string) {
+	d := r.cfg.Work
+	if time.Since(r.start) < r.cfg.Cold {
+		d *= coldFactor
+	}
+	r.mu.Lock()
+	r.counts.Answered++
+	if id != "" {
+		r.counts.Runs[id]++
+	}
+	if service != r.cfg.Service {
+		r.counts.Wrong++
+	}
+	r.counts.BusyTime += d
+	r.mu.Unlock()
+	time.Sleep(d)
+	r.mu.Lock()
+	r.busy--
+	r.mu.Unlock()
+}
+
+// content is the diagram at a path; it is the same at all targets of a service.
+func (r *Responder) content(path string) (b []byte, tag []byte) {
+	line := fmt.Sprintf("%s %s %d\n", r.cfg.Service, path, r.cfg.Epoch)
+	b = []byte(strings.Repeat(line, r.cfg.Content/len(line)+1))[:r.cfg.Content]
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(line))
+	return b, h.Sum(nil)
+}
--- /dev/null
+++ b/internal/standin/storer/storer.go
@@ -0,0 +1,200 @@
+// Package storer stands in for the platform: a key-value service with
+// compare-and-swap and watches, a list of hosts and targets, and faults that can
+// be switched on.
+package storer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/server/platformer"
+)
+
+// FaultPath is where faults are switched on and off.
+const FaultPath = "/v1/faults"
+
+// Faults are what can be wrong with the platform.
+type Faults struct {
+	// Down refuses every call.
+	Down bool `json:"down,omitempty"`
+	// DelayMilliseconds holds every answer back.
+	DelayMilliseconds int `json:"delay_milliseconds,omitempty"`
+	// LoseAnswers is the number of writes that take effect and get no answer.
+	LoseAnswers int `json:"lose_answers,omitempty"`
+	// Stale answers reads with the value before the last write.
+	Stale bool `json:"stale,omitempty"`
+}
+
+// Storer is the platform's stand-in.
+type Storer struct {
+	mux *http.ServeMux
+
+	mu     sync.Mutex
+	values map[string][]platformer.Value
+	list   cactuspin.HostList
+	faults Faults
+	calls  uint64
+	// changed is closed and replaced by every write.
+	changed chan struct{}
+}
+
+// New returns an empty Storer.
+func New() *Storer {
+	s := &Storer{values: make(map[string][]platformer.Value), changed: make(chan struct{}), mux: http.NewServeMux()}
+	s.mux.HandleFunc("GET "+platformer.KeyPath+"{key}", s.get)
+	s.mux.HandleFunc("PUT "+platformer.KeyPath+"{key}", s.swap)
+	s.mux.HandleFunc("GET "+platformer.ListPath, s.getList)
+	s.mux.HandleFunc("PUT "+platformer.ListPath, s.setList)
+	return s
+}
+
+// ServeHTTP answers one call.
+func (s *Storer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, FaultPath) {
+		s.setFaults(w, r)
+		return
+	}
+	s.mu.Lock()
+	f := s.faults
+	s.calls++
+	s.mu.Unlock()
+	time.Sleep(time.Duration(f.DelayMilliseconds) * time.Millisecond)
+	if f.Down {
+		http.Error(w, "down", http.StatusServiceUnavailable)
+		return
+	}
+	s.mux.ServeHTTP(w, r)
+}
+
+// Calls returns the number of calls so far.
+func (s *Storer) Calls() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *Storer) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.wake()
+}
+
+// wake ends the waits of all watches. The caller holds mu.
+func (s *Storer) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// wait returns when ready does not return false any more, the time is over, or
+// the platform goes down.
+func (s *Storer) wait(ctx context.Context, r *http.Request, ready func(after uint64) bool) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	seconds, _ := strconv.ParseFloat(r.URL.Query().Get("wait"), 64)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(seconds*float64(time.Second)))
+	defer cancel()
+	for {
+		s.mu.Lock()
+		changed := s.changed
+		done := s.faults.Down || ready(after)
+		s.mu.Unlock()
+		if done {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (s *Storer) get(w http.ResponseWriter, r *http.Request) {
+	key := r.PathValue("key")
+	s.wait(r.Context(), r, func(after uint64) bool { return uint64(len(s.values[key])) > after })
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	vs := s.values[key]
+	if s.faults.Stale && len(vs) > 1 {
+		vs = vs[:len(vs)-1]
+	}
+	switch {
+	case s.faults.Down:
+		http.Error(w, "down", http.StatusServiceUnavailable)
+	case len(vs) == 0:
+		http.Error(w, "not found", http.StatusNotFound)
+	case uint64(len(vs)) <= after && !s.faults.Stale:
+		w.WriteHeader(http.StatusNotModified)
+	default:
+		write(w, vs[len(vs)-1])
+	}
+}
+
+func (s *Storer) swap(w http.ResponseWriter, r *http.Request) {
+	var v platformer.Value
+	if err := json.NewDecoder(r.Body).Decode(&v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := r.PathValue("key")
+	if v.Revision != uint64(len(s.values[key])) {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	v.Revision++
+	s.values[key] = append(s.values[key], v)
+	s.wake()
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+		panic(http.ErrAbortHandler)
+	}
+	write(w, v)
+}
+
+func (s *Storer) getList(w http.ResponseWriter, r *http.Request) {
+	s.wait(r.Context(), r, func(after uint64) bool { return s.list.Revision > after })
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.faults.Down:
+		http.Error(w, "down", http.StatusServiceUnavailable)
+	case s.list.Revision <= after && after > 0:
+		w.WriteHeader(http.StatusNotModified)
+	default:
+		write(w, s.list)
+	}
+}
+
+func (s *Storer) setList(w http.ResponseWriter, r *http.Request) {
+	var l cactuspin.HostList
+	if err := json.NewDecoder(r.Body).Decode(&l); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.Revision = s.list.Revision + 1
+	s.list = l
+	s.wake()
+	write(w, l)
+}
+
+func write(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/message.go
@@ -0,0 +1,134 @@
+package cactuspin
+
+import (
+	"net/netip"
+	"time"
+)
+
+// PeerMessage is a message between two hosts. Exactly one field is set.
+type PeerMessage struct {
+	Heartbeat       *Heartbeat       `cbor:"1,keyasint,omitempty"`
+	Relay           *Request         `cbor:"2,keyasint,omitempty"`
+	Acknowledgement *Acknowledgement `cbor:"3,keyasint,omitempty"`
+	Execute         *Execute         `cbor:"4,keyasint,omitempty"`
+	Executed        *Executed        `cbor:"5,keyasint,omitempty"`
+	Want            *Want            `cbor:"6,keyasint,omitempty"`
+	Bundle          *SignedBundle    `cbor:"7,keyasint,omitempty"`
+	List            *HostList        `cbor:"8,keyasint,omitempty"`
+	FeedMove        *FeedMove        `cbor:"9,keyasint,omitempty"`
+	FeedMoved       *FeedMoved       `cbor:"10,keyasint,omitempty"`
+	FeedCopy        *FeedMove        `cbor:"11,keyasint,omitempty"`
+	Handover        *Handover        `cbor:"12,keyasint,omitempty"`
+	HandoverDone    *HandoverDone    `cbor:"13,keyasint,omitempty"`
+	FeedForget      *FeedMoved       `cbor:"14,keyasint,omitempty"`
+}
+
+// Load is the free capacity of a host for a service.
+type Load struct {
+	Service ServiceID `cbor:"1,keyasint"`
+	Free    uint16    `cbor:"2,keyasint"`
+}
+
+// Inheritance says that a host holds the authority of an ended incarnation.
+type Inheritance struct {
+	Host        HostID      `cbor:"1,keyasint"`
+	Incarnation Incarnation `cbor:"2,keyasint"`
+	Until       uint32      `cbor:"3,keyasint"` // seconds since the Unix epoch
+}
+
+// Heartbeat is sent to every known peer a few times a second.
+type Heartbeat struct {
+	Incarnation Incarnation   `cbor:"1,keyasint"`
+	Zone        ZoneID        `cbor:"2,keyasint"`
+	Leaving     bool          `cbor:"3,keyasint,omitempty"`
+	Version     BundleVersion `cbor:"4,keyasint,omitempty"`
+	Revision    uint64        `cbor:"5,keyasint,omitempty"`
+	Loads       []Load        `cbor:"6,keyasint,omitempty"`
+	Inherited   []Inheritance `cbor:"7,keyasint,omitempty"`
+}
+
+// Want asks a peer for its bundle or its list.
+type Want struct {
+	Bundle bool `cbor:"1,keyasint,omitempty"`
+	List   bool `cbor:"2,keyasint,omitempty"`
+}
+
+// Execute passes a request that has not been dispatched on to another host,
+// under the authority of the sender.
+type Execute struct {
+	Exchange    ExchangeID    `cbor:"1,keyasint"`
+	Request     Request       `cbor:"2,keyasint"`
+	Left        time.Duration `cbor:"3,keyasint"` // until the deadline
+	Incarnation Incarnation   `cbor:"4,keyasint"`
+	Issued      uint32        `cbor:"5,keyasint"` // seconds since the Unix epoch
+}
+
+// Executed answers an Execute. When NotRun is set the request certainly did not
+// run; otherwise Code 0 means that its outcome is unknown.
+type Executed struct {
+	Exchange ExchangeID `cbor:"1,keyasint"`
+	NotRun   bool       `cbor:"2,keyasint,omitempty"`
+	Code     Code       `cbor:"3,keyasint,omitempty"`
+	Options  []Option   `cbor:"4,keyasint,omitempty"`
+	Payload  []byte     `cbor:"5,keyasint,omitempty"`
+}
+
+// FeedKey identifies an observation by the caller's side of it.
+type FeedKey struct {
+	Caller  netip.AddrPort `cbor:"1,keyasint"`
+	Service netip.AddrPort `cbor:"2,keyasint"`
+	Token   Token          `cbor:"3,keyasint"`
+}
+
+// FeedMove is the compact record of an observation.
+type FeedMove struct {
+	Key      FeedKey  `cbor:"1,keyasint"`
+	Path     string   `cbor:"2,keyasint"`
+	Options  []Option `cbor:"3,keyasint,omitempty"`
+	Sequence uint32   `cbor:"4,keyasint"`
+}
+
+// FeedMoved says that the sender has registered the observation, or, as
+// FeedForget, that the observation has ended.
+type FeedMoved struct {
+	Key FeedKey `cbor:"1,keyasint"`
+}
+
+// RecordState is what an authority knows of a request.
+type RecordState uint8
+
+// The states of a request's record.
+const (
+	RecordNone RecordState = iota
+	RecordPending
+	RecordDone
+	RecordNotRun
+	RecordUnknown
+)
+
+// Record is what an authority keeps of a request so that it runs at most once.
+type Record struct {
+	Key     uint64      `cbor:"1,keyasint"`
+	Issued  uint32      `cbor:"2,keyasint"` // seconds since the Unix epoch
+	State   RecordState `cbor:"3,keyasint"`
+	Code    Code        `cbor:"4,keyasint,omitempty"`
+	Payload []byte      `cbor:"5,keyasint,omitempty"`
+	Options []Option    `cbor:"6,keyasint,omitempty"`
+}
+
+// Handover moves part of an authority to another host. The receiver holds the
+// authority once it has all parts.
+type Handover struct {
+	Incarnation Incarnation   `cbor:"1,keyasint"`
+	Service     ServiceID     `cbor:"2,keyasint"`
+	Part        uint32        `cbor:"3,keyasint"`
+	Parts       uint32        `cbor:"4,keyasint"`
+	Floor       uint32        `cbor:"5,keyasint"`
+	Records     []Record      `cbor:"6,keyasint,omitempty"`
+	Inherited   []Inheritance `cbor:"7,keyasint,omitempty"`
+}
+
+// HandoverDone confirms that all parts of a handover have arrived.
+type HandoverDone struct {
+	Incarnation Incarnation `cbor:"1,keyasint"`
+}
