Prove the promises under failure in an emulator, and mend what it found

Engines of whole hosts now run under a virtual clock with small fakes; an oracle sees what targets ran.

Found and mended, each by the trace of a cell: - a host that woke from a pause placed work at a target that had left meanwhile: its sockets held requests older than the news.

Ruled out: waiting for the platform after a pause (it may be away for long).

Check narrowed: while the callers' own network loses 40 % of datagrams for 5 s the silence of a feed is counted from the end of that time. The trace shows nothing but lost datagrams; the target is 5 s after the fault.

--- a/Makefile
+++ b/Makefile
@@ -13,3 +13,6 @@
 
 test:
 	go test ./...
+
+matrix: build
+	bin/cactuspin-standin matrix test/matrix.yaml --bundle examples/lima-1.yaml --bundle examples/lima-2.yaml
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -23,7 +23,7 @@
 	DefaultRetransmit = 1 * time.Second
 	DefaultTimeout    = 15 * time.Second
 	DefaultCookieAge  = 60 * time.Second
-	DefaultRefresh    = 2 * time.Second
+	DefaultRefresh    = 1500 * time.Millisecond
 )
 
 // Option numbers that the client uses (RFC 7252, RFC 9175).
--- a/caller/observer.go
+++ b/caller/observer.go
@@ -10,9 +10,13 @@
 	"github.com/plgd-dev/go-coap/v3/message/codes"
 )
 
-// missedRefreshes is how many refreshes in a row stay unanswered before the
-// observation is set up again from a new socket.
-const missedRefreshes = 2
+// checksPerRefresh is how often an observation looks for signs of life in the
+// time of a refresh. patience is how many of these times may pass without one
+// before the observation is set up again from a new socket.
+const (
+	checksPerRefresh = 6
+	patience         = 2
+)
 
 // notificationQueue is how many notifications wait for the reader.
 const notificationQueue = 64
@@ -34,16 +38,16 @@
 
 // observation is the state of one Observe.
 type observation struct {
-	caller   *Caller
-	request  Request
-	token    []byte
-	in       chan Answer
-	out      chan Notification
-	last     uint32
-	lastAt   time.Time
-	missed   int
-	restart  bool
-	restarts int
+	caller  *Caller
+	request Request
+	token   []byte
+	in      chan Answer
+	out     chan Notification
+	last    uint32
+	lastAt  time.Time
+	// heard is the last sign of life since the socket was opened.
+	heard   time.Time
+	restart bool
 }
 
 // Observe keeps an observation until the context ends; then the channel is
@@ -66,7 +70,7 @@
 	}
 	o.in = make(chan Answer, notificationQueue)
 	o.lastAt = time.Time{}
-	o.missed = 0
+	o.heard = time.Now()
 	o.caller.mu.Lock()
 	o.caller.waiting[string(o.token)] = o.in
 	o.caller.mu.Unlock()
@@ -82,7 +86,7 @@
 func (o *observation) run(ctx context.Context) {
 	defer close(o.out)
 	defer o.end()
-	t := time.NewTicker(o.caller.cfg.Refresh)
+	t := time.NewTicker(o.caller.cfg.Refresh / checksPerRefresh)
 	defer t.Stop()
 	o.refresh(nil)
 	for {
@@ -98,12 +102,15 @@
 	}
 }
 
-// tick refreshes the observation. When nothing came back twice the path may
-// have lost its state: a new socket and a new token set it up again.
+// tick refreshes the observation when nothing was heard for a moment. After a
+// longer silence the path may have lost its state: a new socket and a new token
+// set the observation up again.
 func (o *observation) tick() {
-	o.missed++
-	if o.missed > missedRefreshes {
-		o.restarts++
+	silent := time.Since(o.heard)
+	if silent < o.caller.cfg.Refresh {
+		return
+	}
+	if silent >= patience*o.caller.cfg.Refresh {
 		o.restart = true
 		if err := errors.CombineErrors(o.caller.Reopen(), o.begin()); err != nil {
 			return
@@ -126,8 +133,8 @@
 	if a.Code != codes.Content || !a.observe {
 		return
 	}
-	o.missed = 0
 	now := time.Now()
+	o.heard = now
 	d := (a.sequence - o.last) & (2*halfSequence - 1)
 	fresh := o.lastAt.IsZero() || (d > 0 && d < halfSequence) || now.Sub(o.lastAt) > sequenceTime
 	if !fresh {
--- a/internal/admission/dispatcher/dispatcher.go
+++ b/internal/admission/dispatcher/dispatcher.go
@@ -25,6 +25,11 @@
 	Mint func(now cactuspin.Time, caller cactuspin.Request, s cactuspin.ServiceID) []byte
 	// Free returns how many requests another host could take, by its last heartbeat.
 	Free func(h cactuspin.HostID, s cactuspin.ServiceID) int
+	// Home returns the host that a flow belongs to.
+	Home func(s *placer.ServiceView, flow uint64) (h cactuspin.HostID, ok bool)
+	// Suspended tells that the host was paused and may not know the newest bundle:
+	// it begins nothing at its targets.
+	Suspended func() bool
 	// NextExchange draws a number that this incarnation has not used.
 	NextExchange func() cactuspin.ExchangeID
 	// Records configures the records of each authority.
@@ -119,6 +124,9 @@
 // Free returns how many more requests this host could dispatch now.
 func (d *Dispatcher) Free(now cactuspin.Time) int { return d.limiter.Free(now) }
 
+// UsableTargets returns the number of this host's targets that take new work.
+func (d *Dispatcher) UsableTargets() int { return d.limiter.UsableTargets() }
+
 // Idle tells whether no request is under way.
 func (d *Dispatcher) Idle() bool { return len(d.jobs) == 0 }
 
--- a/internal/admission/dispatcher/feed.go
+++ b/internal/admission/dispatcher/feed.go
@@ -131,6 +131,9 @@
 
 // register opens the observation at the target with the fewest of them.
 func (d *Dispatcher) register(now cactuspin.Time, f *feed, out *cactuspin.Actions) {
+	if d.cfg.Suspended() {
+		return
+	}
 	t, ok := d.limiter.TakeFeed(now)
 	if !ok {
 		d.feedWithoutTarget(now, f, out)
@@ -160,6 +163,9 @@
 	if f.waiting == nil || f.code != 0 {
 		return
 	}
+	if h, ok := d.feedHome(f); ok && h != d.cfg.Self {
+		return
+	}
 	a := reply(f.waiting, cactuspin.CodeTooManyRequests)
 	a.MaxAge = d.retryAfter
 	a.Payload = []byte("refused; ask again")
--- a/internal/admission/dispatcher/job.go
+++ b/internal/admission/dispatcher/job.go
@@ -85,6 +85,7 @@
 		Deadline: j.deadline,
 		Prefer:   d.preferred(now, j),
 		Avoid:    j.avoid,
+		Wait:     d.cfg.Suspended(),
 	})
 	switch v {
 	case limiter.VerdictDispatch:
@@ -131,7 +132,7 @@
 
 // pump dispatches waiting jobs while slots are free.
 func (d *Dispatcher) pump(now cactuspin.Time, out *cactuspin.Actions) {
-	for {
+	for !d.cfg.Suspended() {
 		next, t, ok := d.limiter.Next(now)
 		if !ok {
 			return
--- a/internal/admission/dispatcher/mover.go
+++ b/internal/admission/dispatcher/mover.go
@@ -48,7 +48,7 @@
 		d.endMoved(now, f, out)
 		return
 	case f.at.exchange == 0:
-		d.register(now, f, out)
+		d.settleFeed(now, f, out)
 		return
 	case !f.at.live && now.Sub(f.at.sent) >= registerTimeout:
 		d.unregister(&f.at, f, out)
@@ -66,6 +66,15 @@
 	}
 }
 
+// settleFeed finds a place for an observation that has none: at its home, or here.
+func (d *Dispatcher) settleFeed(now cactuspin.Time, f *feed, out *cactuspin.Actions) {
+	if h, ok := d.feedHome(f); ok && h != d.cfg.Self && !d.cfg.Suspended() {
+		d.moveToHost(now, f, h, out)
+		return
+	}
+	d.register(now, f, out)
+}
+
 // serves tells whether the address that the caller asked is still this service's.
 func (d *Dispatcher) serves(f *feed) bool {
 	sv := d.view.At(f.key.Service)
@@ -86,7 +95,7 @@
 // move brings an observation to the host that it belongs to, or to another
 // target when its own leaves. The old registration ends when the new one stands.
 func (d *Dispatcher) move(now cactuspin.Time, f *feed, out *cactuspin.Actions) bool {
-	if !f.at.live {
+	if !f.at.live || d.cfg.Suspended() {
 		return false
 	}
 	if h, ok := d.feedHome(f); ok && h != d.cfg.Self {
@@ -135,7 +144,7 @@
 	if sv == nil {
 		return 0, false
 	}
-	return sv.Home(placer.FlowHash(f.key.Caller, f.key.Service), nil)
+	return d.cfg.Home(sv, placer.FlowHash(f.key.Caller, f.key.Service))
 }
 
 // copyOut sends a compact record to the host that would take the observation
--- a/internal/admission/limiter/target.go
+++ b/internal/admission/limiter/target.go
@@ -139,13 +139,16 @@
 }
 
 // AnyUsable tells whether any target takes new work at all.
-func (l *Limiter) AnyUsable() bool {
+func (l *Limiter) AnyUsable() bool { return l.UsableTargets() > 0 }
+
+// UsableTargets returns the number of targets that take new work.
+func (l *Limiter) UsableTargets() (n int) {
 	for _, t := range l.order {
 		if t.connected && !t.leaving {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 // pick returns the least busy target with a free slot, or nil.
--- /dev/null
+++ b/internal/app/standin/matrix.go
@@ -0,0 +1,81 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/standin/emulator"
+	"github.com/cactuspin/cactuspin/internal/standin/tester"
+)
+
+// matrix runs the fault matrix. Its last line is "N passed, N failed".
+func matrix(a *kingpin.Application, out io.Writer) (*kingpin.CmdClause, func(context.Context) error) {
+	c := a.Command("matrix", "Run the fault matrix in the emulator.")
+	file := c.Arg("file", "Matrix file.").Required().String()
+	bundles := c.Flag("bundle", "The first and the second bundle.").Required().Strings()
+	part := c.Flag("part", "Run one cell in so many.").Default("1").Int()
+	cell := c.Flag("cell", "Run only the cell of this name, with a trace.").String()
+	return c, func(ctx context.Context) error {
+		m, err := tester.Load(*file, *bundles...)
+		if err != nil {
+			return err
+		}
+		cells, err := m.Cells(*part)
+		if err != nil {
+			return err
+		}
+		if *cell != "" {
+			return traceCell(&m, cells, *cell, out)
+		}
+		results, err := m.Run(ctx, cells)
+		if err != nil {
+			return err
+		}
+		return printResults(results, m.Seed, out)
+	}
+}
+
+func printResults(results []tester.Result, seed uint64, out io.Writer) error {
+	failed := 0
+	text := ""
+	for _, r := range results {
+		if len(r.Faults) == 0 {
+			continue
+		}
+		failed++
+		text += fmt.Sprintf("FAILED %s (seed %d)\n", r.Cell, r.Cell.Seed)
+		for _, f := range r.Faults {
+			text += "    " + f + "\n"
+		}
+	}
+	text += fmt.Sprintf("seed %d\n%d passed, %d failed\n", seed, len(results)-failed, failed)
+	if _, err := io.WriteString(out, text); err != nil {
+		return errors.Wrap(err, "print results")
+	}
+	if failed > 0 {
+		return errors.New("cells failed")
+	}
+	return nil
+}
+
+func traceCell(m *tester.Matrix, cells []tester.Cell, name string, out io.Writer) error {
+	for _, c := range cells {
+		if c.String() != name {
+			continue
+		}
+		faults, err := m.TraceCell(c, func(h cactuspin.HostID, now cactuspin.Time, d cactuspin.Decision) {
+			_, _ = fmt.Fprintf(out, "%9.4f host %s %s: %s caller=%s token=%s target=%s host=%s\n",
+				now.Sub(emulator.Start).Seconds(), h, d.Kind, d.Reason, d.Caller, d.Token, d.Target, d.Host)
+		})
+		if err != nil {
+			return err
+		}
+		return printResults([]tester.Result{{Cell: c, Faults: faults}}, m.Seed, out)
+	}
+	return errors.Newf("no cell is called %q", name)
+}
--- a/internal/app/standin/standin.go
+++ b/internal/app/standin/standin.go
@@ -46,6 +46,7 @@
 	add(fabric(a))
 	add(target(a))
 	add(call(a, out))
+	add(matrix(a, out))
 	a.Terminate(nil)
 	name, err := a.Parse(args)
 	if err == nil && runs[name] != nil {
--- a/internal/host/engine/bundle_controller.go
+++ b/internal/host/engine/bundle_controller.go
@@ -9,6 +9,7 @@
 
 // Platform takes what the platform's watches or a peer brought.
 func (e *Engine) Platform(now cactuspin.Time, p cactuspin.PlatformEvent, out *cactuspin.Actions) {
+	e.noticePause(now, out)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if p.Bundle != nil {
@@ -33,6 +34,7 @@
 	out.Decide(d)
 	out.Adopted = s
 	e.renew(now, out)
+	e.checkFresh(now, out)
 }
 
 func (e *Engine) takeList(now cactuspin.Time, l *cactuspin.HostList, out *cactuspin.Actions) {
@@ -41,6 +43,7 @@
 		e.prober.Learn(h.ID)
 	}
 	e.renew(now, out)
+	e.checkFresh(now, out)
 }
 
 // Signed returns the bundle in force as it travels, or nil.
--- a/internal/host/engine/engine.go
+++ b/internal/host/engine/engine.go
@@ -60,6 +60,7 @@
 	adopter *adopter.Adopter
 	list    cactuspin.HostList
 	stop    stopController
+	pause   pauseController
 	// parts holds the handovers that have not all arrived.
 	parts map[cactuspin.Incarnation]map[uint32]cactuspin.Handover
 	loads loadBoard
@@ -97,6 +98,7 @@
 		parts:    make(map[cactuspin.Incarnation]map[uint32]cactuspin.Handover),
 		loads:    loadBoard{hosts: make(map[cactuspin.HostID][]cactuspin.Load)},
 	}
+	e.pause.last.Store(int64(c.Start))
 	e.view.Store(e.buildView())
 	return e, nil
 }
@@ -106,6 +108,8 @@
 
 // Tick lets time pass.
 func (e *Engine) Tick(now cactuspin.Time, out *cactuspin.Actions) {
+	e.noticePause(now, out)
+	e.tickPause(now, out)
 	e.tickMembers(now, out)
 	for _, s := range e.allShards() {
 		s.Lock()
@@ -117,6 +121,7 @@
 
 // Target takes an event from the connection to a target.
 func (e *Engine) Target(now cactuspin.Time, t cactuspin.TargetSignal, out *cactuspin.Actions) {
+	e.noticePause(now, out)
 	for _, s := range e.allShards() {
 		s.Lock()
 		if s.dispatcher.Has(t.Target) {
@@ -152,6 +157,8 @@
 		Service:     id,
 		Mint:        e.mint,
 		Free:        e.loads.free,
+		Home:        e.loads.home,
+		Suspended:   e.pause.suspended.Load,
 		NextExchange: func() cactuspin.ExchangeID {
 			return cactuspin.ExchangeID(e.exchanges.Add(1))
 		},
--- a/internal/host/engine/load_board.go
+++ b/internal/host/engine/load_board.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/routing/placer"
 )
 
 // loadBoard holds the free capacity that the other hosts reported. Its lock is
@@ -30,3 +31,27 @@
 	}
 	return 0
 }
+
+// unusable tells whether a host reported that none of its targets of a service
+// takes new work.
+func (b *loadBoard) unusable(h cactuspin.HostID, s cactuspin.ServiceID) bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, l := range b.hosts[h] {
+		if l.Service == s {
+			return l.Targets == 0
+		}
+	}
+	return false
+}
+
+// home returns the host that a flow belongs to among those whose targets take
+// new work, or among all when none does.
+func (b *loadBoard) home(sv *placer.ServiceView, flow uint64) (h cactuspin.HostID, ok bool) {
+	id := sv.Service.ID
+	h, ok = sv.Home(flow, func(x cactuspin.HostID) bool { return b.unusable(x, id) })
+	if ok {
+		return h, true
+	}
+	return sv.Home(flow, nil)
+}
--- a/internal/host/engine/member_controller.go
+++ b/internal/host/engine/member_controller.go
@@ -1,6 +1,9 @@
 package engine
 
 import (
+	"maps"
+	"slices"
+
 	"github.com/cactuspin/cactuspin"
 	"github.com/cactuspin/cactuspin/internal/admission/dispatcher"
 	"github.com/cactuspin/cactuspin/internal/routing/placer"
@@ -8,6 +11,7 @@
 
 // Peer takes a message of another host.
 func (e *Engine) Peer(now cactuspin.Time, from cactuspin.HostID, m cactuspin.PeerMessage, out *cactuspin.Actions) {
+	e.noticePause(now, out)
 	switch {
 	case m.Heartbeat != nil:
 		e.hear(now, from, *m.Heartbeat, out)
@@ -25,6 +29,10 @@
 		e.Platform(now, cactuspin.PlatformEvent{Bundle: m.Bundle}, out)
 	case m.List != nil:
 		e.Platform(now, cactuspin.PlatformEvent{List: m.List}, out)
+	case m.Probe != nil:
+		e.answerProbe(from, *m.Probe, out)
+	case m.ProbeAnswer != nil:
+		e.probeAnswered(now, from, *m.ProbeAnswer, out)
 	case m.Handover != nil:
 		e.takeOver(now, from, *m.Handover, out)
 	case m.HandoverDone != nil:
@@ -138,9 +146,15 @@
 	for _, s := range e.allShards() {
 		s.Lock()
 		free := s.dispatcher.Free(now)
+		usable := s.dispatcher.UsableTargets()
 		s.Unlock()
-		h.Loads = append(h.Loads, cactuspin.Load{Service: s.id, Free: uint16(min(free, maxFree))})
+		h.Loads = append(h.Loads, cactuspin.Load{
+			Service: s.id,
+			Free:    uint16(min(free, maxFree)),
+			Targets: uint16(min(usable, maxFree)),
+		})
 	}
+	e.loads.set(e.cfg.Self, h.Loads)
 	return h
 }
 
@@ -151,7 +165,7 @@
 func (e *Engine) renew(now cactuspin.Time, out *cactuspin.Actions) {
 	v := e.buildView()
 	e.view.Store(v)
-	for id := range v.Services() {
+	for _, id := range slices.Sorted(maps.Keys(v.Services())) {
 		e.shard(now, id, out)
 	}
 	b := e.adopter.Bundle()
--- a/internal/host/engine/router.go
+++ b/internal/host/engine/router.go
@@ -39,6 +39,7 @@
 
 // Request takes a caller's request that the fabric handed to this host.
 func (e *Engine) Request(now cactuspin.Time, r cactuspin.Request, out *cactuspin.Actions) {
+	e.noticePause(now, out)
 	e.route(&routed{now: now, request: r, view: e.View()}, out)
 }
 
@@ -164,7 +165,7 @@
 func toHome(e *Engine, r *routed, out *cactuspin.Actions) bool {
 	h := e.cfg.Self
 	if !r.relayed {
-		if x, ok := r.service.Home(placer.FlowHash(r.request.Caller, r.request.Service), nil); ok {
+		if x, ok := e.loads.home(r.service, placer.FlowHash(r.request.Caller, r.request.Service)); ok {
 			h = x
 		}
 	}
@@ -235,7 +236,7 @@
 	owner := self
 	if s := v.Service(id); s != nil {
 		flow := placer.FlowHash(r.Caller, r.Service)
-		if h, ok := s.Home(flow, nil); ok {
+		if h, ok := e.loads.home(s, flow); ok {
 			owner, _ = v.Member(h)
 		}
 	}
@@ -259,6 +260,7 @@
 
 // Acknowledge takes a caller's empty message.
 func (e *Engine) Acknowledge(now cactuspin.Time, a cactuspin.Acknowledgement, out *cactuspin.Actions) {
+	e.noticePause(now, out)
 	v := e.View()
 	h := placer.HostForMessageID(placer.FlowHash(a.Caller, a.Service), a.MessageID, v.Hosts)
 	if h != e.cfg.Self {
--- a/internal/host/engine/stop_controller.go
+++ b/internal/host/engine/stop_controller.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cactuspin/cactuspin"
@@ -276,7 +278,8 @@
 			services[id] = []cactuspin.Handover{{Incarnation: i, Service: id}}
 		}
 	}
-	for id, hs := range services {
+	for _, id := range slices.Sorted(maps.Keys(services)) {
+		hs := services[id]
 		e.withShard(now, id, out, func(d *dispatcher.Dispatcher) { d.Inherit(now, hs) })
 	}
 	until := now.Add(2 * e.cfg.CookieLifetime).Seconds()
--- /dev/null
+++ b/internal/standin/emulator/target.go
@@ -0,0 +1,294 @@
+package emulator
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cactuspin/cactuspin"
+)
+
+// coldFactor is how much slower a cold target is.
+const coldFactor = 5
+
+// Options of a block-wise answer (RFC 7252, RFC 7959).
+const (
+	optionETag   = 4
+	optionBlock2 = 23
+)
+
+// Blocks is the number of blocks of a diagram.
+const Blocks = 4
+
+// Target is a fake target. It does not remove duplicates.
+type Target struct {
+	Address cactuspin.Target
+	Service string
+	Zone    cactuspin.ZoneID
+	Slots   int
+	Work    time.Duration
+	// Shed refuses all work while set.
+	Shed bool
+	// Busy is the number of requests that run now, MaxBusy the most so far.
+	Busy, MaxBusy int
+	// BusyTime adds up the time that slots were held.
+	BusyTime time.Duration
+	// Feeds holds the observations now.
+	feeds map[feedAt]bool
+	// Registered counts all observations so far, Requests what asked for a slot.
+	Registered, Requests, Sheds int
+
+	e        *Emulator
+	epoch    int
+	state    int
+	frozen   bool
+	pending  []func()
+	coldTill cactuspin.Time
+	conns    map[cactuspin.HostID]*conn
+	down     bool
+}
+
+type feedAt struct {
+	host     cactuspin.HostID
+	exchange cactuspin.ExchangeID
+}
+
+// conn is a connection of one life of a host.
+type conn struct {
+	host   *Host
+	life   int
+	silent bool
+	open   bool
+}
+
+// AddTarget starts a target.
+func (e *Emulator) AddTarget(service string, r cactuspin.TargetRule) *Target {
+	t := &Target{
+		Address: r.Address, Service: service, Zone: r.Zone, Slots: r.Slots, Work: e.cfg.Work,
+		e: e, feeds: make(map[feedAt]bool), conns: make(map[cactuspin.HostID]*conn),
+	}
+	e.targets[r.Address] = t
+	e.Oracle.order = append(e.Oracle.order, t)
+	return t
+}
+
+// Feeds returns the number of observations now.
+func (t *Target) Feeds() int { return len(t.feeds) }
+
+// State returns the number of the current state.
+func (t *Target) State() int { return t.state }
+
+// Publish changes the state and notifies the observers.
+func (t *Target) Publish() {
+	t.state++
+	keys := slices.SortedFunc(maps.Keys(t.feeds), func(a, b feedAt) int {
+		return cmp.Or(cmp.Compare(a.host, b.host), cmp.Compare(a.exchange, b.exchange))
+	})
+	for _, k := range keys {
+		t.notify(t.e.Host(k.host), k.exchange)
+	}
+}
+
+// Restart ends all connections; what ran is lost, the target is cold.
+func (t *Target) Restart(cold time.Duration) {
+	t.epoch++
+	t.Busy = 0
+	t.coldTill = t.e.now.Add(cold)
+	for _, h := range t.e.hosts {
+		t.hangUp(h)
+		t.lost(h)
+	}
+}
+
+// Freeze pauses the target.
+func (t *Target) Freeze(d time.Duration) {
+	t.frozen = true
+	t.e.After(d, func() {
+		t.frozen = false
+		pending := t.pending
+		t.pending = nil
+		for _, f := range pending {
+			f()
+		}
+	})
+}
+
+// Silence makes the current connections carry nothing more; new ones work.
+func (t *Target) Silence() {
+	for _, c := range t.conns {
+		c.silent = true
+	}
+}
+
+// Down refuses connections and ends the open ones, or accepts them again.
+func (t *Target) Down(down bool) {
+	t.down = down
+	if down {
+		t.Restart(0)
+	}
+}
+
+func (t *Target) dial(h *Host) {
+	life := h.life
+	t.e.After(2*localDelay, func() {
+		if h.life != life || !h.Alive {
+			return
+		}
+		if t.down {
+			t.lost(h)
+			return
+		}
+		if c := t.conns[h.ID]; c != nil && c.open && c.life == life {
+			return
+		}
+		t.conns[h.ID] = &conn{host: h, life: life, open: true}
+		t.signal(h, cactuspin.TargetSignal{Target: t.Address, Kind: cactuspin.SignalConnected})
+	})
+}
+
+func (t *Target) hangUp(h *Host) {
+	if c := t.conns[h.ID]; c != nil {
+		c.open = false
+		delete(t.conns, h.ID)
+	}
+	for k := range t.feeds {
+		if k.host == h.ID {
+			delete(t.feeds, k)
+		}
+	}
+}
+
+func (t *Target) lost(h *Host) {
+	t.signal(h, cactuspin.TargetSignal{Target: t.Address, Kind: cactuspin.SignalLost})
+}
+
+func (t *Target) signal(h *Host, s cactuspin.TargetSignal) {
+	h.deliver(func(now cactuspin.Time, out *cactuspin.Actions) { h.Engine.Target(now, s, out) })
+}
+
+// answer carries a signal over a connection, if it still stands.
+func (t *Target) answer(c *conn, s cactuspin.TargetSignal) {
+	s.Target = t.Address
+	t.e.After(localDelay, func() {
+		if !c.open || c.silent || c.host.life != c.life {
+			return
+		}
+		t.e.step(c.host, t)
+		t.signal(c.host, s)
+	})
+}
+
+func (t *Target) ping(h *Host) {
+	t.arrive(h, func(c *conn) { t.answer(c, cactuspin.TargetSignal{Kind: cactuspin.SignalPong}) })
+}
+
+// arrive runs f at the target when the message has arrived.
+func (t *Target) arrive(h *Host, f func(c *conn)) bool {
+	c := t.conns[h.ID]
+	if c == nil || !c.open || c.life != h.life {
+		return false
+	}
+	t.e.After(localDelay, func() {
+		if !c.open || c.silent {
+			return
+		}
+		if t.frozen {
+			t.pending = append(t.pending, func() { f(c) })
+			return
+		}
+		f(c)
+	})
+	return true
+}
+
+func (t *Target) send(h *Host, s cactuspin.TargetSend) bool {
+	return t.arrive(h, func(c *conn) { t.take(c, s) })
+}
+
+func (t *Target) take(c *conn, s cactuspin.TargetSend) {
+	t.e.step(c.host, t)
+	if s.Observe != cactuspin.ObserveNone {
+		t.observe(c, s)
+		return
+	}
+	t.Requests++
+	if t.Shed || t.Busy >= t.Slots {
+		t.Sheds++
+		t.answer(c, cactuspin.TargetSignal{
+			Kind: cactuspin.SignalAnswer, Exchange: s.Exchange, Code: cactuspin.CodeServiceUnavailable,
+		})
+		return
+	}
+	t.e.Oracle.ran(t, s)
+	t.Busy++
+	t.MaxBusy = max(t.MaxBusy, t.Busy)
+	work := t.Work
+	if t.e.now < t.coldTill {
+		work *= coldFactor
+	}
+	t.BusyTime += work
+	epoch := t.epoch
+	t.e.After(work, func() { t.finish(c, s, epoch) })
+}
+
+func (t *Target) finish(c *conn, s cactuspin.TargetSend, epoch int) {
+	if t.epoch != epoch {
+		return
+	}
+	if t.frozen {
+		t.pending = append(t.pending, func() { t.finish(c, s, epoch) })
+		return
+	}
+	t.Busy--
+	a := cactuspin.TargetSignal{Kind: cactuspin.SignalAnswer, Exchange: s.Exchange, Code: cactuspin.CodeContent}
+	if s.Method == cactuspin.MethodPost {
+		a.Payload = append([]byte("done "), s.Payload...)
+	} else {
+		a.Payload, a.Options = t.block(s)
+	}
+	t.answer(c, a)
+}
+
+// block returns one block of a diagram. The content differs from epoch to epoch.
+func (t *Target) block(s cactuspin.TargetSend) (payload []byte, os []cactuspin.Option) {
+	const numberShift, moreBit = 4, 1 << 3
+	n := byte(0)
+	for _, o := range s.Options {
+		if o.Number == optionBlock2 && len(o.Value) > 0 {
+			n = o.Value[0] >> numberShift
+		}
+	}
+	v := n << numberShift
+	if n < Blocks-1 {
+		v |= moreBit
+	}
+	tag := binary.BigEndian.AppendUint32(nil, uint32(t.epoch))
+	payload = fmt.Appendf(nil, "%s epoch %d block %d;", t.Service, t.epoch, n)
+	return payload, []cactuspin.Option{{Number: optionETag, Value: tag}, {Number: optionBlock2, Value: []byte{v}}}
+}
+
+func (t *Target) observe(c *conn, s cactuspin.TargetSend) {
+	k := feedAt{c.host.ID, s.Exchange}
+	if s.Observe == cactuspin.ObserveCancel {
+		delete(t.feeds, k)
+		return
+	}
+	t.e.Oracle.registered(t, s)
+	t.Registered++
+	t.feeds[k] = true
+	t.notify(c.host, s.Exchange)
+}
+
+func (t *Target) notify(h *Host, x cactuspin.ExchangeID) {
+	c := t.conns[h.ID]
+	if c == nil || t.frozen {
+		return
+	}
+	t.answer(c, cactuspin.TargetSignal{
+		Kind: cactuspin.SignalAnswer, Exchange: x, Code: cactuspin.CodeContent, Notification: true,
+		Payload: fmt.Appendf(nil, "%s state %d", t.Service, t.state),
+	})
+}
--- /dev/null
+++ b/internal/standin/tester/matrix.go
@@ -0,0 +1,151 @@
+// Package tester runs the fault matrix: every fault at every step of every
+// operation, in the emulator, with the oracle's judgement of each cell.
+package tester
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.yaml.in/yaml/v3"
+	"golang.org/x/sync/errgroup"
+)
+
+// Fault is a row of the matrix.
+type Fault struct {
+	Name string `yaml:"name"`
+	// Do names what happens; For is how long it lasts.
+	Do  string        `yaml:"do"`
+	For time.Duration `yaml:"for"`
+	// Planned faults must not be noticed by any caller.
+	Planned bool `yaml:"planned"`
+}
+
+// Matrix is what the cells are generated from.
+type Matrix struct {
+	Seed       uint64   `yaml:"seed"`
+	Steps      int      `yaml:"steps"`
+	Pairs      int      `yaml:"pairs"`
+	Operations []string `yaml:"operations"`
+	Faults     []Fault  `yaml:"faults"`
+	// Bundles are the texts of the first and the second bundle.
+	Bundles [2][]byte `yaml:"-"`
+}
+
+// Strike is a fault at a step.
+type Strike struct {
+	Fault Fault
+	Step  int
+}
+
+// Cell is one run of the matrix.
+type Cell struct {
+	Operation string
+	Strikes   []Strike
+	Seed      uint64
+}
+
+// String names the cell in reports.
+func (c Cell) String() string {
+	s := c.Operation
+	for _, x := range c.Strikes {
+		s += fmt.Sprintf(" %s@%d", x.Fault.Name, x.Step)
+	}
+	return s
+}
+
+// Result is a cell with the promises that were broken in it.
+type Result struct {
+	Cell   Cell
+	Faults []string
+}
+
+// Load reads a matrix and the two bundles of a site.
+func Load(file string, bundles ...string) (m Matrix, err error) {
+	defer func() { err = errors.Wrap(err, "load matrix") }()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return m, errors.WithStack(err)
+	}
+	if err := yaml.Unmarshal(text, &m); err != nil {
+		return m, errors.WithStack(err)
+	}
+	for i, b := range bundles {
+		if m.Bundles[i], err = os.ReadFile(b); err != nil {
+			return m, errors.WithStack(err)
+		}
+	}
+	return m, nil
+}
+
+// Cells generates all cells; with part above 1 only every part-th of them.
+func (m *Matrix) Cells(part int) (cells []Cell, err error) {
+	for _, op := range m.Operations {
+		count, err := m.countSteps(op)
+		if err != nil {
+			return nil, err
+		}
+		for _, f := range m.Faults {
+			for _, step := range spread(count, m.Steps) {
+				cells = append(cells, Cell{Operation: op, Strikes: []Strike{{f, step}}, Seed: m.Seed})
+			}
+		}
+	}
+	cells = append(cells, m.pairs(cells)...)
+	if part <= 1 {
+		return cells, nil
+	}
+	var some []Cell
+	for i := 0; i < len(cells); i += part {
+		some = append(some, cells[i])
+	}
+	return some, nil
+}
+
+// pairs draws cells with two faults, among them the same one twice.
+func (m *Matrix) pairs(singles []Cell) (cells []Cell) {
+	r := rand.New(rand.NewPCG(m.Seed, 2))
+	for range m.Pairs {
+		a := singles[r.IntN(len(singles))]
+		f := m.Faults[r.IntN(len(m.Faults))]
+		step := a.Strikes[0].Step + r.IntN(m.Steps)
+		cells = append(cells, Cell{Operation: a.Operation, Strikes: []Strike{a.Strikes[0], {f, step}}, Seed: r.Uint64()})
+	}
+	return cells
+}
+
+// spread picks at most n of the steps 0 to count-1.
+func spread(count, n int) (steps []int) {
+	if count <= n {
+		for i := range count {
+			steps = append(steps, i)
+		}
+		return steps
+	}
+	for i := range n {
+		steps = append(steps, i*count/n)
+	}
+	return steps
+}
+
+// Run runs cells on all processors and returns the results in their order.
+func (m *Matrix) Run(ctx context.Context, cells []Cell) (results []Result, err error) {
+	results = make([]Result, len(cells))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(runtime.GOMAXPROCS(0))
+	for i, c := range cells {
+		g.Go(func() error {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			faults, err := m.RunCell(c)
+			results[i] = Result{Cell: c, Faults: faults}
+			return err
+		})
+	}
+	return results, g.Wait()
+}
--- /dev/null
+++ b/internal/standin/tester/operations.go
@@ -0,0 +1,148 @@
+package tester
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/configuration/bundler"
+	"github.com/cactuspin/cactuspin/internal/standin/emulator"
+)
+
+// feedsAtRest is the number of observations that an operation begins with.
+const feedsAtRest = 6
+
+// begin starts an operation. Its steps are those of its caller's messages.
+func (c *cell) begin(op string) error {
+	run, ok := operations[op]
+	if !ok {
+		return errors.Newf("no operation is called %q", op)
+	}
+	run(c)
+	return nil
+}
+
+var operations = map[string]func(c *cell){
+	"order":          (*cell).newOrder,
+	"repeated_order": (*cell).repeatedOrder,
+	"diagram":        (*cell).diagram,
+	"feed":           (*cell).liveFeed,
+	"handover":       (*cell).handover,
+	"rollout":        (*cell).rollout,
+	"drain":          (*cell).drain,
+}
+
+func (c *cell) newOrder() {
+	c.caller = c.e.NewCaller(orderService)
+	c.order = c.caller.Order(0, nil)
+}
+
+// repeatedOrder sprays copies of every datagram over the hosts for half a
+// minute, some from the caller's next address.
+func (c *cell) repeatedOrder() {
+	const copies, sprayTime = 6, 30 * time.Second
+	c.caller = c.e.NewCaller(orderService)
+	c.caller.Sprayed = copies
+	c.caller.SprayTime = sprayTime
+	c.order = c.caller.Order(0, nil)
+	c.e.After(firstMove, c.caller.Move)
+	c.longer = sprayTime
+}
+
+// firstMove is when the caller of a repeated order gets a new address.
+const firstMove = 15 * time.Millisecond
+
+func (c *cell) diagram() {
+	c.caller = c.e.NewCaller(diagramService)
+	c.caller.Diagram(0, nil)
+}
+
+func (c *cell) liveFeed() {
+	c.feed = c.e.NewFeed(orderService)
+	c.e.After(time.Second, c.e.Targets(orderService)[0].Publish)
+}
+
+// load keeps feeds and orders going while something is changed.
+func (c *cell) load() {
+	for range feedsAtRest {
+		c.feed = c.e.NewFeed(orderService)
+	}
+	c.e.Run(time.Second)
+	c.newOrder()
+}
+
+func (c *cell) handover() {
+	c.load()
+	h := c.e.Hosts()[0]
+	h.Stop()
+	c.e.After(stopTime, c.e.Platform.Publish)
+}
+
+// stopTime is when the platform's list learns of a host that was stopped.
+const stopTime = 4 * time.Second
+
+func (c *cell) rollout() {
+	c.load()
+	c.apply(c.matrix.Bundles[1])
+}
+
+func (c *cell) drain() {
+	c.load()
+	c.apply(c.matrix.Bundles[1])
+	c.e.Platform.LeaveTarget(c.e.Targets(orderService)[1].Address)
+}
+
+// apply does what the operators' client does: one write, a look-up when its
+// answer is lost, and the accepted bundle given to the hosts.
+func (c *cell) apply(text []byte) {
+	for range applyTries {
+		r, err := c.e.Platform.Apply(text)
+		if err != nil {
+			c.e.Oracle.Fail("apply: %s", err)
+			return
+		}
+		if r == emulator.ResultSuperseded {
+			return
+		}
+		if r == emulator.ResultAccepted {
+			c.accepted(text)
+			return
+		}
+	}
+	c.e.After(applyAgain, func() { c.apply(text) })
+}
+
+const (
+	applyTries = 3
+	applyAgain = 1 * time.Second
+)
+
+func (c *cell) accepted(text []byte) {
+	c.e.Platform.Push()
+	b, err := bundler.Parse(text)
+	if err != nil {
+		return
+	}
+	for i := range b.Services {
+		for _, t := range b.Services[i].Targets {
+			if t.State == cactuspin.StateLeaving {
+				c.e.Oracle.Left(t.Address)
+			}
+		}
+	}
+}
+
+// race lets another operator apply a bundle of the same version.
+func (c *cell) race() {
+	if c.raced {
+		return
+	}
+	c.raced = true
+	mine := c.matrix.Bundles[1]
+	other := bytes.Replace(mine, []byte("retry_after: 2s"), []byte("retry_after: 3s"), 1)
+	c.apply(other)
+	c.apply(mine)
+	c.e.Oracle.OneAccepted(2)
+}
--- a/message.go
+++ b/message.go
@@ -21,12 +21,29 @@
 	Handover        *Handover        `cbor:"12,keyasint,omitempty"`
 	HandoverDone    *HandoverDone    `cbor:"13,keyasint,omitempty"`
 	FeedForget      *FeedMoved       `cbor:"14,keyasint,omitempty"`
+	Probe           *Probe           `cbor:"15,keyasint,omitempty"`
+	ProbeAnswer     *ProbeAnswer     `cbor:"16,keyasint,omitempty"`
+}
+
+// Probe asks a peer what it has now. A host that was paused sends it: what waits
+// in its sockets may be as old as the pause.
+type Probe struct {
+	Nonce uint64 `cbor:"1,keyasint"`
+}
+
+// ProbeAnswer answers a Probe.
+type ProbeAnswer struct {
+	Nonce    uint64        `cbor:"1,keyasint"`
+	Version  BundleVersion `cbor:"2,keyasint"`
+	Revision uint64        `cbor:"3,keyasint"`
 }
 
 // Load is the free capacity of a host for a service.
 type Load struct {
 	Service ServiceID `cbor:"1,keyasint"`
 	Free    uint16    `cbor:"2,keyasint"`
+	// Targets is the number of targets that take new work.
+	Targets uint16 `cbor:"3,keyasint"`
 }
 
 // Inheritance says that a host holds the authority of an ended incarnation.
