--- a/demo/run.sh
+++ b/demo/run.sh
@@ -14,7 +14,7 @@
   local status=$?
   kill "${pids[@]}" 2>/dev/null || true
   wait 2>/dev/null || true
-  if [ "$status" -ne 0 ] && [ -n "${KEEP_LOGS:-}" ]; then
+  if [ -n "${KEEP_LOGS:-}" ]; then
     echo "logs are in $work"
   else
     rm -rf "$work"
@@ -33,13 +33,15 @@
 zone_of() { echo "${zones[$((($1 - 1) % ${#zones[@]}))]}"; }
 
 write_list() { # HOST...
-  local first=1 i
+  local first=1 i state
   {
     echo '{"hosts":['
     for i in "$@"; do
       [ $first = 1 ] || echo ,
       first=0
-      echo "{\"id\":$i,\"zone\":\"$(zone_of "$i")\",\"peer\":\"$NET.2.$i:7200\",\"fabric\":\"$NET.2.$i:7100\",\"operators\":\"$NET.2.$i:7300\",\"state\":\"live\"}"
+      state=live
+      [ "$i" != "${leaving:-}" ] || state=leaving
+      echo "{\"id\":$i,\"zone\":\"$(zone_of "$i")\",\"peer\":\"$NET.2.$i:7200\",\"fabric\":\"$NET.2.$i:7100\",\"operators\":\"$NET.2.$i:7300\",\"state\":\"$state\"}"
     done
     echo ']}'
   } >"$work/list.json"
@@ -99,6 +101,8 @@
 start_host $new
 write_list $(seq "$HOSTS") $new
 sleep 1
+leaving=1
+write_list $(seq "$HOSTS") $new
 first=${pids[3]}
 kill -TERM "$first"
 wait "$first"
--- a/internal/admission/dispatcher/feed.go
+++ b/internal/admission/dispatcher/feed.go
@@ -213,7 +213,6 @@
 	f.code = s.Code
 	f.format = s.Options
 	f.payload = s.Payload
-	f.advance(now)
 	if f.from != 0 {
 		out.Peer(f.from, cactuspin.PeerMessage{FeedMoved: &cactuspin.FeedMoved{Key: f.key}})
 		f.from = 0
@@ -222,6 +221,7 @@
 		d.answerRefresh(now, f, f.waiting, out)
 		return
 	}
+	f.advance(now)
 	d.notify(now, f, cactuspin.AnswerNonConfirmable, out)
 }
 
@@ -305,6 +305,7 @@
 
 // answerRefresh answers a registration or refresh with the current state.
 func (d *Dispatcher) answerRefresh(now cactuspin.Time, f *feed, r *cactuspin.Request, out *cactuspin.Actions) {
+	f.advance(now)
 	a := reply(r, f.code)
 	a.Notification = true
 	a.Sequence = f.sequence
@@ -368,6 +369,15 @@
 	f.sequence = next
 }
 
+// catchUp takes over an Observe value that the caller may have seen from another
+// host, so that the caller does not take the next one for an old one.
+func (f *feed) catchUp(now cactuspin.Time, sequence uint32) {
+	if (sequence-f.sequence)&sequenceMask < (sequenceMask+1)/2 {
+		f.sequence = sequence
+	}
+	f.advance(now)
+}
+
 func (d *Dispatcher) decideFeed(f *feed, why string, out *cactuspin.Actions) {
 	out.Decide(cactuspin.Decision{
 		Kind:    cactuspin.DecisionFeed,
--- a/internal/admission/dispatcher/mover.go
+++ b/internal/admission/dispatcher/mover.go
@@ -163,6 +163,9 @@
 	if !ok || h == d.cfg.Self || h == f.copied {
 		return false
 	}
+	if f.copied != 0 {
+		out.Peer(f.copied, cactuspin.PeerMessage{FeedForget: &cactuspin.FeedMoved{Key: f.key}})
+	}
 	f.copied = h
 	out.Peer(h, cactuspin.PeerMessage{FeedCopy: f.record()})
 	return true
@@ -172,6 +175,8 @@
 func (d *Dispatcher) TakeFeed(now cactuspin.Time, from cactuspin.HostID, m cactuspin.FeedMove, out *cactuspin.Actions) {
 	f, ok := d.feeds.byKey[m.Key]
 	if ok && f.at.live {
+		f.catchUp(now, m.Sequence)
+		d.notify(now, f, cactuspin.AnswerNonConfirmable, out)
 		out.Peer(from, cactuspin.PeerMessage{FeedMoved: &cactuspin.FeedMoved{Key: m.Key}})
 		return
 	}
--- a/internal/app/standin/standin.go
+++ b/internal/app/standin/standin.go
@@ -144,7 +144,7 @@
 		if l, err := client.List(ctx, 0, 0); err == nil {
 			var hosts []netip.AddrPort
 			for _, h := range l.Hosts {
-				if a, err := netip.ParseAddrPort(h.Fabric); err == nil {
+				if a, err := netip.ParseAddrPort(h.Fabric); err == nil && h.State != cactuspin.StateLeaving {
 					hosts = append(hosts, a)
 				}
 			}
--- a/internal/host/engine/bundle_controller.go
+++ b/internal/host/engine/bundle_controller.go
@@ -1,6 +1,8 @@
 package engine
 
 import (
+	"time"
+
 	"github.com/cockroachdb/errors"
 
 	"github.com/cactuspin/cactuspin"
@@ -12,7 +14,7 @@
 	e.noticePause(now, out)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if p.Bundle != nil {
+	if p.Bundle != nil && !e.keepCandidate(now, p.Bundle) {
 		e.adopt(now, p.Bundle, out)
 	}
 	if p.List != nil && p.List.Revision > e.list.Revision {
@@ -20,6 +22,43 @@
 	}
 }
 
+// bootLimit is how long a host that just started waits for the others before it
+// believes the platform, which may answer with an older bundle than they have.
+const bootLimit = 1500 * time.Millisecond
+
+// keepCandidate keeps a bundle of the platform until the other hosts were heard.
+// The caller holds mu.
+func (e *Engine) keepCandidate(now cactuspin.Time, s *cactuspin.SignedBundle) bool {
+	if e.adopter.Version() > 0 || e.booted(now) {
+		return false
+	}
+	if e.candidate == nil || s.Version > e.candidate.Version {
+		e.candidate = s
+	}
+	return true
+}
+
+// booted tells whether all known hosts were heard and none has a newer bundle
+// than the candidate, or the time for that is over.
+func (e *Engine) booted(now cactuspin.Time) bool {
+	if now.Sub(e.cfg.Start) >= bootLimit {
+		return true
+	}
+	highest, all := e.prober.Highest()
+	return all && e.candidate != nil && e.candidate.Version >= highest
+}
+
+// tickBundle brings the candidate into force when it may be believed. The caller
+// holds mu.
+func (e *Engine) tickBundle(now cactuspin.Time, out *cactuspin.Actions) {
+	if e.candidate == nil || !e.booted(now) {
+		return
+	}
+	s := e.candidate
+	e.candidate = nil
+	e.adopt(now, s, out)
+}
+
 func (e *Engine) adopt(now cactuspin.Time, s *cactuspin.SignedBundle, out *cactuspin.Actions) {
 	err := e.adopter.Offer(s)
 	if errors.Is(err, adopter.ErrOld) {
--- a/internal/host/engine/engine.go
+++ b/internal/host/engine/engine.go
@@ -58,9 +58,11 @@
 	mu      sync.Mutex
 	prober  *prober.Prober
 	adopter *adopter.Adopter
-	list    cactuspin.HostList
-	stop    stopController
-	pause   pauseController
+	// candidate is a bundle of the platform that waits to be believed.
+	candidate *cactuspin.SignedBundle
+	list      cactuspin.HostList
+	stop      stopController
+	pause     pauseController
 	// parts holds the handovers that have not all arrived.
 	parts map[cactuspin.Incarnation]map[uint32]cactuspin.Handover
 	loads loadBoard
--- a/internal/host/engine/member_controller.go
+++ b/internal/host/engine/member_controller.go
@@ -16,7 +16,7 @@
 	case m.Heartbeat != nil:
 		e.hear(now, from, *m.Heartbeat, out)
 	case m.Relay != nil:
-		e.route(&routed{now: now, request: *m.Relay, view: e.View(), relayed: true}, out)
+		e.route(&routed{now: now, request: *m.Relay, view: e.View()}, out)
 	case m.Acknowledgement != nil:
 		e.acknowledgeHere(now, *m.Acknowledgement, out)
 	case m.Execute != nil:
@@ -126,6 +126,7 @@
 		out.Decide(cactuspin.Decision{Kind: cactuspin.DecisionHost, Reason: "host is gone", Host: h})
 		e.everyShard(func(d *dispatcher.Dispatcher) { d.HostGone(now, h, out) })
 	}
+	e.tickBundle(now, out)
 	due := e.prober.Due(now)
 	if len(due) == 0 {
 		return
--- a/internal/host/engine/router.go
+++ b/internal/host/engine/router.go
@@ -12,6 +12,10 @@
 // authority.
 const maxHops = 3
 
+// maxHomeHops is how often a request is passed on to find its home. Hosts with
+// different views could go on for ever.
+const maxHomeHops = 2
+
 // routed is a request on its way through the filters.
 type routed struct {
 	now     cactuspin.Time
@@ -21,8 +25,6 @@
 	// cookie is valid when hasCookie is set.
 	cookie    sealer.Cookie
 	hasCookie bool
-	// relayed is set when another host sent the request here.
-	relayed bool
 }
 
 // filter looks at a request and tells whether it has dealt with it.
@@ -32,6 +34,7 @@
 var filters = [...]filter{
 	openCookie,
 	toAuthority,
+	withoutBundle,
 	unknownAddress,
 	openFlow,
 	toHome,
@@ -128,7 +131,38 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.prober.Status(r.now, r.cookie.Host, r.cookie.Incarnation)
+	return e.prober.Status(r.now, r.cookie.Host, r.cookie.Incarnation, r.cookie.Issued)
+}
+
+// withoutBundle passes requests on while this host has no bundle and others do.
+// While it does not yet know whether they do it leaves the request to a
+// retransmission.
+func withoutBundle(e *Engine, r *routed, out *cactuspin.Actions) bool {
+	if r.view.Version > 0 {
+		return false
+	}
+	if h, ok := e.anyReady(r); ok {
+		return e.relay(r, h, "no bundle here yet", out)
+	}
+	e.mu.Lock()
+	_, all := e.prober.Highest()
+	wait := !all && e.prober.Known() > 0 && r.now.Sub(e.cfg.Start) < bootLimit
+	e.mu.Unlock()
+	if wait {
+		r.decide(cactuspin.DecisionDrop, "this host has just started", 0, out)
+	}
+	return wait
+}
+
+// anyReady picks a host that has a bundle.
+func (e *Engine) anyReady(r *routed) (h cactuspin.HostID, ok bool) {
+	cs := make([]placer.Candidate, 0, len(r.view.Members))
+	for _, m := range r.view.Members {
+		if m.Host != e.cfg.Self && !m.Leaving {
+			cs = append(cs, placer.Candidate{Host: m.Host, Zone: m.Zone, Weight: 1})
+		}
+	}
+	return placer.Pick(placer.FlowHash(r.request.Caller, r.request.Service), cs, nil)
 }
 
 // unknownAddress refuses what no bundle in force here has a service for. A
@@ -164,7 +198,7 @@
 // toHome brings idempotent work to the host that its flow belongs to.
 func toHome(e *Engine, r *routed, out *cactuspin.Actions) bool {
 	h := e.cfg.Self
-	if !r.relayed {
+	if r.request.Hops < maxHomeHops {
 		if x, ok := e.loads.home(r.service, placer.FlowHash(r.request.Caller, r.request.Service)); ok {
 			h = x
 		}
--- a/internal/host/engine/stop_controller.go
+++ b/internal/host/engine/stop_controller.go
@@ -15,6 +15,9 @@
 	DefaultStopLimit = 30 * time.Second
 	// spreadTime is how long news of this host takes to reach all others.
 	spreadTime = 1 * time.Second
+	// lingerLimit is how long a host that has handed over goes on redirecting while
+	// the platform's list still calls it live, and the fabric hands it packets.
+	lingerLimit = 6 * time.Second
 	// handoverRetry is the time between two tries to hand over.
 	handoverRetry = 500 * time.Millisecond
 )
@@ -46,6 +49,8 @@
 	// waiting holds the incarnations that the heir has not confirmed.
 	waiting map[cactuspin.Incarnation]bool
 	held    []routed
+	// left is when the platform's list stopped calling this host live.
+	left cactuspin.Time
 }
 
 // Stop begins a planned stop.
@@ -96,13 +101,29 @@
 			e.sendParts(now, out)
 		}
 	case phaseRedirecting:
-		if spread && e.idle() {
+		if spread && e.idle() && e.unlisted(now) {
 			out.Stopped = true
 		}
 	case phaseServing:
 	}
 }
 
+// unlisted tells whether the fabric has had time to learn that this host leaves.
+// The caller holds mu.
+func (e *Engine) unlisted(now cactuspin.Time) bool {
+	s := &e.stop
+	live := slices.ContainsFunc(e.list.Hosts, func(h cactuspin.ListedHost) bool {
+		return h.ID == e.cfg.Self && h.State != cactuspin.StateLeaving
+	})
+	if live {
+		return now.Sub(s.since) >= lingerLimit
+	}
+	if s.left == 0 {
+		s.left = now
+	}
+	return now.Sub(s.left) >= spreadTime
+}
+
 func (e *Engine) feeds() (n int) {
 	e.everyShard(func(d *dispatcher.Dispatcher) { n += d.Feeds() })
 	return n
--- a/internal/membership/prober/prober.go
+++ b/internal/membership/prober/prober.go
@@ -98,6 +98,7 @@
 	changed = !x.live ||
 		x.heartbeat.Incarnation != h.Incarnation ||
 		x.heartbeat.Leaving != h.Leaving ||
+		(x.heartbeat.Version == 0) != (h.Version == 0) ||
 		len(x.heartbeat.Inherited) != len(h.Inherited)
 	x.heartbeat = h
 	x.heard = now
@@ -152,17 +153,20 @@
 	}
 }
 
-// Status tells what is known of an incarnation of a host.
-func (p *Prober) Status(now cactuspin.Time, h cactuspin.HostID, i cactuspin.Incarnation) Status {
+// Status tells what is known of an incarnation of a host that is named by a
+// cookie issued at issued seconds. A host that was never heard may have joined
+// just before the cookie was issued, and reach others first.
+func (p *Prober) Status(now cactuspin.Time, h cactuspin.HostID, i cactuspin.Incarnation, issued uint32) Status {
 	x, ok := p.peers[h]
 	if !ok || x.heard == 0 {
-		if now.Sub(p.cfg.Start) >= GoneAfter && now.Sub(p.resumed) >= GoneAfter {
+		age := time.Duration(int64(now.Seconds())-int64(issued)) * time.Second
+		if age > 2*GoneAfter && now.Sub(p.cfg.Start) >= GoneAfter && now.Sub(p.resumed) >= GoneAfter {
 			return StatusGone
 		}
 		return StatusUnknown
 	}
 	if x.heartbeat.Incarnation != i {
-		return StatusGone
+		return p.replaced(now, x, issued)
 	}
 	if x.live {
 		return StatusLive
@@ -173,10 +177,34 @@
 	return StatusUnknown
 }
 
+// replaced judges an incarnation that is not the one last heard at its host. A
+// cookie issued a moment ago may name one that is about to be heard.
+func (p *Prober) replaced(now cactuspin.Time, x *peer, issued uint32) Status {
+	const spread = 2
+	if issued+spread >= x.heard.Seconds() && !p.silent(now, x) {
+		return StatusUnknown
+	}
+	return StatusGone
+}
+
 func (p *Prober) silent(now cactuspin.Time, x *peer) bool {
 	return now.Sub(x.heard) >= GoneAfter && now.Sub(p.resumed) >= GoneAfter
 }
 
+// Highest returns the highest bundle version that another host has reported, and
+// whether all known hosts were heard.
+func (p *Prober) Highest() (v cactuspin.BundleVersion, all bool) {
+	all = len(p.peers) > 0
+	for _, x := range p.peers {
+		all = all && x.heard > 0
+		v = max(v, x.heartbeat.Version)
+	}
+	return v, all
+}
+
+// Known returns the number of other hosts that may exist.
+func (p *Prober) Known() int { return len(p.peers) }
+
 // Members returns this host and all that answer.
 func (p *Prober) Members() (ms []placer.Member) {
 	ms = append(ms, placer.Member{
@@ -194,7 +222,7 @@
 			Host:        id,
 			Zone:        x.heartbeat.Zone,
 			Incarnation: x.heartbeat.Incarnation,
-			Leaving:     x.heartbeat.Leaving,
+			Leaving:     x.heartbeat.Leaving || x.heartbeat.Version == 0,
 		})
 	}
 	return ms
--- a/internal/routing/placer/view.go
+++ b/internal/routing/placer/view.go
@@ -13,7 +13,9 @@
 	Host        cactuspin.HostID
 	Zone        cactuspin.ZoneID
 	Incarnation cactuspin.Incarnation
-	Leaving     bool
+	// Leaving is set when the host takes no new work: it is about to stop, or it
+	// has no bundle yet.
+	Leaving bool
 }
 
 // ServiceView is a service with the hosts that can take its flows.
--- a/internal/standin/emulator/host.go
+++ b/internal/standin/emulator/host.go
@@ -19,9 +19,10 @@
 	// Stopped is set when a planned stop has ended.
 	Stopped bool
 
-	e      *Emulator
-	life   int
-	frozen bool
+	e       *Emulator
+	life    int
+	leaving bool
+	frozen  bool
 	// pending holds what arrives while the host is frozen.
 	pending []func()
 	// holdNext keeps back the actions of the next decision until the host wakes.
@@ -65,6 +66,7 @@
 	h.life++
 	h.Alive = true
 	h.Stopped = false
+	h.leaving = false
 	h.frozen = false
 	h.holdNext = false
 	h.pending = nil
@@ -87,7 +89,10 @@
 }
 
 // Stop begins a planned stop.
-func (h *Host) Stop() { h.do(h.Engine.Stop) }
+func (h *Host) Stop() {
+	h.leaving = true
+	h.do(h.Engine.Stop)
+}
 
 // Freeze pauses the process. With mid it is paused between its next decision and
 // what follows from it.
--- a/internal/standin/emulator/oracle.go
+++ b/internal/standin/emulator/oracle.go
@@ -177,6 +177,18 @@
 	}
 }
 
+// AllWhole checks that every request of a kind got its whole answer.
+func (o *Oracle) AllWhole(kind string) {
+	for _, x := range o.list {
+		if x.kind == kind && x.Told != ToldWhole {
+			o.Fail("%s was told %d", x.ID, x.Told)
+		}
+	}
+}
+
+// AcceptedAt returns when a bundle was accepted.
+func (o *Oracle) AcceptedAt(v cactuspin.BundleVersion) cactuspin.Time { return o.acceptAt[v] }
+
 // OneAccepted checks that the platform holds exactly one bundle of a version.
 func (o *Oracle) OneAccepted(v cactuspin.BundleVersion) {
 	n := 0
--- a/internal/standin/emulator/platform.go
+++ b/internal/standin/emulator/platform.go
@@ -102,15 +102,20 @@
 	}
 }
 
-// Publish puts all running hosts on the list; it lags.
+// Publish puts all running hosts on the list. The fabric learns of it later.
 func (p *Platform) Publish() {
 	l := cactuspin.HostList{Revision: p.list.Revision + 1, Targets: p.list.Targets}
 	listed := make(map[cactuspin.HostID]bool)
 	for _, h := range p.e.hosts {
-		if h.Alive {
-			l.Hosts = append(l.Hosts, cactuspin.ListedHost{ID: h.ID, Zone: h.Zone, State: cactuspin.StateLive})
-			listed[h.ID] = true
+		if !h.Alive {
+			continue
 		}
+		state := cactuspin.StateLive
+		if h.leaving {
+			state = cactuspin.StateLeaving
+		}
+		l.Hosts = append(l.Hosts, cactuspin.ListedHost{ID: h.ID, Zone: h.Zone, State: state})
+		listed[h.ID] = !h.leaving
 	}
 	p.list = l
 	if len(p.listed) == 0 {
--- /dev/null
+++ b/internal/standin/tester/script.go
@@ -0,0 +1,162 @@
+package tester
+
+import (
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.yaml.in/yaml/v3"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/standin/emulator"
+)
+
+// Script is a story of one run, read from a file.
+type Script struct {
+	Name  string `yaml:"name"`
+	Seed  uint64 `yaml:"seed"`
+	Steps []Step `yaml:"steps"`
+	// Length is how long the run takes.
+	Length time.Duration `yaml:"length"`
+	Expect Expect        `yaml:"expect"`
+}
+
+// Step is something that happens at a time.
+type Step struct {
+	At time.Duration `yaml:"at"`
+	// Do is a fault of the matrix, or work: feeds, orders, diagrams, apply, push,
+	// restart_all_but.
+	Do string `yaml:"do"`
+	// Host and Target number where a fault strikes, from 1.
+	Host   int           `yaml:"host"`
+	Target int           `yaml:"target"`
+	For    time.Duration `yaml:"for"`
+	Count  int           `yaml:"count"`
+	Every  time.Duration `yaml:"every"`
+	// Bundle numbers the bundle to apply, from 1.
+	Bundle int `yaml:"bundle"`
+}
+
+// Expect is what must be true at the end, besides every promise.
+type Expect struct {
+	// Unbroken demands that no feed was set up again.
+	Unbroken bool `yaml:"unbroken"`
+	// Silence is the longest silence of a feed; 0 means the promise's.
+	Silence time.Duration `yaml:"silence"`
+	// WholeOrders demands that all orders were answered whole.
+	WholeOrders bool `yaml:"whole_orders"`
+	// WholeDiagrams demands the same of diagrams.
+	WholeDiagrams bool `yaml:"whole_diagrams"`
+	// Version is the bundle in force on all hosts.
+	Version cactuspin.BundleVersion `yaml:"version"`
+	// InForceWithin bounds the time from acceptance.
+	InForceWithin time.Duration `yaml:"in_force_within"`
+}
+
+// LoadScript reads a script.
+func LoadScript(file string) (s Script, err error) {
+	defer func() { err = errors.Wrapf(err, "load script %s", file) }()
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return s, errors.WithStack(err)
+	}
+	return s, errors.WithStack(yaml.Unmarshal(text, &s))
+}
+
+// RunScript runs a script and returns the promises and expectations that were
+// broken.
+func (m *Matrix) RunScript(s Script, trace Trace) (faults []string, err error) {
+	defer func() { err = errors.Wrapf(err, "script %q", s.Name) }()
+	c, err := m.newCell(s.Seed, trace)
+	if err != nil {
+		return nil, err
+	}
+	for _, x := range s.Steps {
+		c.e.After(x.At, func() { c.perform(x) })
+	}
+	c.e.Run(s.Length)
+	c.expect(s.Expect)
+	c.e.Oracle.Settle()
+	return c.e.Oracle.Faults, nil
+}
+
+func (c *cell) perform(x Step) {
+	switch x.Do {
+	case "feeds":
+		for range x.Count {
+			c.e.NewFeed(orderService)
+		}
+	case "orders":
+		c.every(x, func() { c.e.NewCaller(orderService).Order(0, nil) })
+	case "diagrams":
+		c.every(x, func() { c.e.NewCaller(diagramService).Diagram(0, nil) })
+	case "apply":
+		c.apply(c.matrix.Bundles[x.Bundle-1])
+	case "restart_all_but":
+		for _, h := range c.e.Hosts() {
+			if int(h.ID) != x.Host {
+				h.Kill()
+				c.e.After(restartTime, h.Restart)
+			}
+		}
+	default:
+		if x.Host > 0 {
+			c.host = c.e.Host(cactuspin.HostID(x.Host))
+		}
+		if x.Target > 0 {
+			c.target = c.e.Targets(orderService)[x.Target-1]
+		}
+		c.strike(Fault{Do: x.Do, For: x.For})
+	}
+}
+
+func (c *cell) every(x Step, f func()) {
+	for i := range x.Count {
+		c.e.After(time.Duration(i)*x.Every, f)
+	}
+}
+
+func (c *cell) expect(x Expect) {
+	o := c.e.Oracle
+	if x.Silence == 0 {
+		x.Silence = feedSilence
+	}
+	o.FeedsLive(x.Silence)
+	if x.Unbroken {
+		o.Unbroken()
+	}
+	if x.WholeOrders {
+		o.AllWhole("order")
+	}
+	if x.WholeDiagrams {
+		o.AllWhole("diagram")
+	}
+	if x.Version == 0 {
+		return
+	}
+	o.InForce(c.e.Hosts()...)
+	if v := c.e.Platform.Accepted().Version; v != x.Version {
+		o.Fail("bundle %d was accepted, %d expected", v, x.Version)
+	}
+	if x.InForceWithin > 0 {
+		c.inForceWithin(x)
+	}
+}
+
+func (c *cell) inForceWithin(x Expect) {
+	for _, h := range c.e.Hosts() {
+		at, ok := h.InForce[x.Version]
+		if took := at.Sub(c.e.Oracle.AcceptedAt(x.Version)); h.Alive && (!ok || took > x.InForceWithin) {
+			c.e.Oracle.Fail("bundle %d came into force on host %s after %s", x.Version, h.ID, took)
+		}
+	}
+}
+
+// Emulator returns the site of the matrix for a measurement.
+func (m *Matrix) Emulator(seed uint64) (*emulator.Emulator, error) {
+	c, err := m.newCell(seed, nil)
+	if err != nil {
+		return nil, err
+	}
+	return c.e, nil
+}
--- a/internal/standin/tester/strikes.go
+++ b/internal/standin/tester/strikes.go
@@ -47,6 +47,8 @@
 	case "join":
 		e.AddHost(cactuspin.HostID(len(e.Hosts())+1), h.Zone)
 		e.Platform.Publish()
+	case "join_unheard":
+		c.joinUnheard(f)
 	case "stop":
 		if h.Alive {
 			h.Stop()
@@ -65,6 +67,20 @@
 	return true
 }
 
+// joinUnheard adds a host that all but the struck one hear only later.
+func (c *cell) joinUnheard(f Fault) {
+	e := c.e
+	id := cactuspin.HostID(len(e.Hosts()) + 1)
+	for _, o := range e.Hosts() {
+		if o != c.host {
+			e.CutHosts(o.ID, id, true)
+			e.After(f.For, func() { e.CutHosts(o.ID, id, false) })
+		}
+	}
+	e.AddHost(id, c.host.Zone)
+	e.Platform.Publish()
+}
+
 func (c *cell) strikeTarget(f Fault) bool {
 	t, e := c.target, c.e
 	switch f.Do {
