Work with an unmodified go-coap client and server

Ruled out: cutting large answers at the host, which needs state per transfer. Change: hosts tell targets (RFC 8323 settings) that they want blocks, ask for the first block when the caller asks for none, and refuse what does not fit or has no entity tag instead of passing on a part.

--- a/internal/admission/dispatcher/answer.go
+++ b/internal/admission/dispatcher/answer.go
@@ -8,10 +8,7 @@
 // finish ends a job with the answer of a target.
 func (d *Dispatcher) finish(now cactuspin.Time, j *job, code cactuspin.Code, options []cactuspin.Option, payload []byte, out *cactuspin.Actions) {
 	d.forget(j)
-	if (moreBlocks(options) || laterBlock(options)) && !hasETag(options) {
-		code, options = cactuspin.CodeBadGateway, nil
-		payload = []byte("block-wise answer without an entity tag")
-	}
+	code, options, payload = fit(&j.request, code, options, payload)
 	if j.origin != 0 {
 		d.report(j, cactuspin.Executed{Code: code, Options: options, Payload: payload}, out)
 		return
@@ -20,6 +17,27 @@
 	d.answer(now, j, code, options, payload, out)
 }
 
+// maxPayload is the largest answer that fits into a datagram, in bytes.
+const maxPayload = 1152
+
+// fit replaces an answer that cannot be passed on whole or could be mixed with
+// another: one too large for a datagram, or a block without an entity tag.
+func fit(r *cactuspin.Request, code cactuspin.Code, options []cactuspin.Option, payload []byte) (cactuspin.Code, []cactuspin.Option, []byte) {
+	why := ""
+	switch {
+	case len(payload) > maxPayload:
+		why = "answer of the target is too large"
+	case (moreBlocks(options) || laterBlock(options)) && !hasETag(options):
+		why = "block-wise answer without an entity tag"
+	default:
+		return code, options, payload
+	}
+	if r.Method.Idempotent() {
+		return cactuspin.CodeBadGateway, nil, []byte(why)
+	}
+	return cactuspin.CodeGatewayTimeout, nil, []byte("may have run: " + why)
+}
+
 // doneRecord keeps a small answer for repeated copies; a large one is dropped
 // and a copy is told that the request may have run.
 func doneRecord(r *cactuspin.Request, code cactuspin.Code, options []cactuspin.Option, payload []byte) cactuspin.Record {
--- a/internal/admission/dispatcher/job.go
+++ b/internal/admission/dispatcher/job.go
@@ -116,7 +116,7 @@
 		Exchange: j.exchange,
 		Method:   j.request.Method,
 		Path:     j.request.Path,
-		Options:  j.request.Options,
+		Options:  blockwise(&j.request),
 		Payload:  j.request.Payload,
 		NotAfter: j.deadline,
 	})
--- a/internal/admission/dispatcher/request.go
+++ b/internal/admission/dispatcher/request.go
@@ -123,6 +123,22 @@
 	return h.Sum64()
 }
 
+// blockwise returns the options for the target. A read that asks for no block
+// gets the first one, so that the answer fits into a datagram.
+func blockwise(r *cactuspin.Request) []cactuspin.Option {
+	const firstBlockOf1024 = 6
+	if r.Method != cactuspin.MethodGet {
+		return r.Options
+	}
+	for _, o := range r.Options {
+		if o.Number == optionBlock2 {
+			return r.Options
+		}
+	}
+	first := cactuspin.Option{Number: optionBlock2, Value: []byte{firstBlockOf1024}}
+	return append(append([]cactuspin.Option(nil), r.Options...), first)
+}
+
 // moreBlocks tells whether a Block2 option announces more blocks (RFC 7959,
 // section 2.2).
 func moreBlocks(options []cactuspin.Option) bool {
--- a/internal/edge/translator/target.go
+++ b/internal/edge/translator/target.go
@@ -40,8 +40,17 @@
 // (RFC 8323, section 5.4).
 func EncodePing() ([]byte, error) { return encodeFrame(message.Message{Code: codes.Ping}) }
 
-// EncodeSettings writes the message that opens a connection (RFC 8323, section 5.3).
-func EncodeSettings() ([]byte, error) { return encodeFrame(message.Message{Code: codes.CSM}) }
+// EncodeSettings writes the message that opens a connection (RFC 8323, section
+// 5.3). It tells the target that large answers are wanted in blocks.
+func EncodeSettings() ([]byte, error) {
+	return encodeFrame(message.Message{Code: codes.CSM, Options: message.Options{
+		{ID: message.TCPMaxMessageSize, Value: minimal(maxTargetMessage)},
+		{ID: message.TCPBlockWiseTransfer},
+	}})
+}
+
+// maxTargetMessage is the largest message that a target is asked to send.
+const maxTargetMessage = 1152
 
 // EncodePong writes the answer to a ping.
 func EncodePong(token []byte) ([]byte, error) {
--- /dev/null
+++ b/internal/server/runner/platform_test.go
@@ -0,0 +1,18 @@
+package runner_test
+
+import (
+	"context"
+	"encoding/json"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/server/platformer"
+)
+
+func apply(ctx context.Context, g *WithT, c *platformer.Client, s *cactuspin.SignedBundle) {
+	data, err := json.Marshal(s)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = c.Swap(ctx, platformer.BundleKey("test"), 0, data)
+	g.Expect(err).NotTo(HaveOccurred())
+}
