Let a leaving host decline a handover, and judge the ends of orders

A host that began to leave while another handed over to it ignored the parts; the giver kept sending to it until its limit and held back what callers sent (handover host_stopped@131). It may take no second heir from silence, but a host that leaves never takes over, so it can decline for good and the giver takes the next. Ruled out: a second heir after a time-out; both could accept the same order. Check narrowed: a target that leaves by the platform's list alone counts from when the platform is up: the trace of 'rollout target_leaving@129 platform_down@129' shows that no host could learn it. Also: equally busy targets are used in turn; the load run and the tables of ends and balance are commands.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -273,6 +273,13 @@
 	k.cookieAt = time.Now()
 }
 
+// Forget drops the cookie; the next request that needs one opens a new flow.
+func (k *Caller) Forget() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.cookie = nil
+}
+
 func (k *Caller) currentCookie() []byte {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/admission/limiter/limiter.go
+++ b/internal/admission/limiter/limiter.go
@@ -88,6 +88,7 @@
 	// order keeps the targets in the order in which they came, so that a run
 	// can be repeated.
 	order []*target
+	taken uint64
 }
 
 type kindState struct {
@@ -144,7 +145,7 @@
 	}
 	if l.waiting() == 0 && !j.Wait {
 		if x := l.pick(now, j); x != nil {
-			take(x, k)
+			l.take(x, k)
 			return x.address, VerdictDispatch, ReasonNone
 		}
 	}
@@ -174,7 +175,7 @@
 	}
 	j = k.queue[0]
 	k.queue = k.queue[1:]
-	take(x, k)
+	l.take(x, k)
 	return j, x.address, true
 }
 
@@ -338,7 +339,9 @@
 	return n
 }
 
-func take(t *target, k *kindState) {
+func (l *Limiter) take(t *target, k *kindState) {
+	l.taken++
+	t.taken = l.taken
 	t.busy++
 	k.busy++
 }
--- a/internal/admission/limiter/target.go
+++ b/internal/admission/limiter/target.go
@@ -27,6 +27,9 @@
 	connections int
 	busy        int
 	feeds       int
+	// taken numbers the last time that a slot was taken; of equally busy targets
+	// the one that waited longest is next.
+	taken       uint64
 	connected   bool
 	leaving     bool
 	since       cactuspin.Time
@@ -160,7 +163,7 @@
 		if t.address == j.Avoid || t.limit(now, l.cfg.Ramp) <= t.busy {
 			continue
 		}
-		if best == nil || t.busy < best.busy || (t.busy == best.busy && t.feeds < best.feeds) {
+		if best == nil || t.busy < best.busy || (t.busy == best.busy && t.taken < best.taken) {
 			best = t
 		}
 	}
--- a/internal/app/standin/floods.go
+++ b/internal/app/standin/floods.go
@@ -7,6 +7,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/cactuspin/cactuspin/internal/standin/emulator"
 	"github.com/cactuspin/cactuspin/internal/standin/tester"
 )
 
@@ -58,3 +59,75 @@
 	}
 	return nil
 }
+
+// balance prints how evenly flows and busy slots are spread.
+func balance(a *kingpin.Application, out io.Writer) (*kingpin.CmdClause, func(context.Context) error) {
+	c := a.Command("balance", "Measure the balance of flows and of busy slots in the emulator.")
+	file := c.Arg("file", "Matrix file, for seed and site.").Required().String()
+	bundles := c.Flag("bundle", "The first and the second bundle.").Required().Strings()
+	return c, func(context.Context) error {
+		m, err := tester.Load(*file, *bundles...)
+		if err != nil {
+			return err
+		}
+		for _, n := range []int{280, 1400, 7000, 28000} {
+			worst, err := m.FlowImbalance(n)
+			if err != nil {
+				return err
+			}
+			if _, err := fmt.Fprintf(out, "| %d flows | %.2f | |\n", n, worst); err != nil {
+				return err
+			}
+		}
+		return printBusy(&m, out)
+	}
+}
+
+func printBusy(m *tester.Matrix, out io.Writer) error {
+	for _, d := range []tester.Disturbance{
+		tester.DisturbanceNone, tester.DisturbanceCold, tester.DisturbanceSheds, tester.DisturbanceLeaving,
+	} {
+		worst, whole, err := m.BusyImbalance(d)
+		if err != nil {
+			return err
+		}
+		if _, err := fmt.Fprintf(out, "| busy slots, %s | %.2f | %.2f %% |\n", d, worst, 100*whole); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ends prints how the orders of each story ended.
+func ends(a *kingpin.Application, out io.Writer) (*kingpin.CmdClause, func(context.Context) error) {
+	c := a.Command("ends", "Show how the orders of each story ended.")
+	file := c.Arg("file", "Matrix file, for the site.").Required().String()
+	bundles := c.Flag("bundle", "The first and the second bundle.").Required().Strings()
+	stories := c.Flag("story", "Story file; can be repeated.").Required().Strings()
+	return c, func(context.Context) error {
+		m, err := tester.Load(*file, *bundles...)
+		if err != nil {
+			return err
+		}
+		for _, f := range *stories {
+			if err := printEnds(&m, f, out); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+func printEnds(m *tester.Matrix, file string, out io.Writer) error {
+	s, err := tester.LoadScript(file)
+	if err != nil {
+		return err
+	}
+	n, err := m.Ends(s)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(out, "| %s | %d | %d | %d | %d |\n",
+		s.Name, n[emulator.ToldWhole], n[emulator.ToldNotRun], n[emulator.ToldMayHaveRun], n[emulator.ToldNothing])
+	return err
+}
--- a/internal/app/standin/standin.go
+++ b/internal/app/standin/standin.go
@@ -48,6 +48,8 @@
 	add(call(a, out))
 	add(matrix(a, out))
 	add(floods(a, out))
+	add(balance(a, out))
+	add(ends(a, out))
 	a.Terminate(nil)
 	name, err := a.Parse(args)
 	if err == nil && runs[name] != nil {
@@ -214,6 +216,7 @@
 	c.Flag("feeds", "Number of feeds.").Default("100").IntVar(&cfg.Feeds)
 	c.Flag("flows", "Number of callers that order and fetch.").Default("20").IntVar(&cfg.Flows)
 	c.Flag("duration", "Time of the load.").Default("10s").DurationVar(&cfg.Duration)
+	c.Flag("new-flows", "Let each order open a flow of its own.").BoolVar(&cfg.NewFlows)
 	c.Flag("run", "Prefix of the IDs of orders.").Default("run").StringVar(&cfg.Run)
 	c.Flag("content", "Bytes of a diagram.").Default("2000").IntVar(&cfg.ContentSize)
 	return c, func(ctx context.Context) (err error) {
--- a/internal/host/engine/member_controller.go
+++ b/internal/host/engine/member_controller.go
@@ -166,8 +166,11 @@
 func (e *Engine) renew(now cactuspin.Time, out *cactuspin.Actions) {
 	v := e.buildView()
 	e.view.Store(v)
+	// Services of which this host owns no target get a shard when a request comes.
 	for _, id := range slices.Sorted(maps.Keys(v.Services())) {
-		e.shard(now, id, out)
+		if len(v.Service(id).Owned) > 0 {
+			e.shard(now, id, out)
+		}
 	}
 	b := e.adopter.Bundle()
 	for _, s := range e.allShards() {
--- a/internal/host/engine/stop_controller.go
+++ b/internal/host/engine/stop_controller.go
@@ -44,8 +44,10 @@
 	since cactuspin.Time
 	limit cactuspin.Time
 	heir  cactuspin.HostID
-	sent  cactuspin.Time
-	parts []cactuspin.Handover
+	// refused are hosts that declined the handover.
+	refused []cactuspin.HostID
+	sent    cactuspin.Time
+	parts   []cactuspin.Handover
 	// waiting holds the incarnations that the heir has not confirmed.
 	waiting map[cactuspin.Incarnation]bool
 	held    []routed
@@ -135,9 +137,9 @@
 	return idle
 }
 
-// beginHandover ends this host's authority and sends its records to one heir.
-// There is no second heir: the first may have taken over although it could not
-// say so.
+// beginHandover ends this host's authority and sends its records to one heir. A
+// second heir is only taken when the first has declined: one that is silent may
+// have taken over.
 func (e *Engine) beginHandover(now cactuspin.Time, out *cactuspin.Actions) {
 	s := &e.stop
 	h, ok := e.pickHeir()
@@ -159,6 +161,22 @@
 	e.sendParts(now, out)
 }
 
+// declined takes the next heir. The caller holds mu.
+func (e *Engine) declined(now cactuspin.Time, out *cactuspin.Actions) {
+	s := &e.stop
+	s.refused = append(s.refused, s.heir)
+	h, ok := e.pickHeir()
+	s.heir = 0
+	if !ok {
+		e.enter(now, phaseRedirecting, "no host to hand over to", out)
+		return
+	}
+	s.heir = h
+	e.everyShard(func(d *dispatcher.Dispatcher) { d.SetHeir(h) })
+	e.enter(now, phaseHanding, "handing over to another", out)
+	e.sendParts(now, out)
+}
+
 // collect takes the parts of one incarnation from all services and numbers them.
 func (e *Engine) collect(now cactuspin.Time, i cactuspin.Incarnation, heir cactuspin.HostID) (parts []cactuspin.Handover) {
 	e.everyShard(func(d *dispatcher.Dispatcher) {
@@ -178,7 +196,7 @@
 func (e *Engine) pickHeir() (h cactuspin.HostID, ok bool) {
 	var cs []placer.Candidate
 	for _, m := range e.View().Members {
-		if m.Host == e.cfg.Self || m.Leaving {
+		if m.Host == e.cfg.Self || m.Leaving || slices.Contains(e.stop.refused, m.Host) {
 			continue
 		}
 		w := 1.0
@@ -211,6 +229,11 @@
 		e.mu.Unlock()
 		return
 	}
+	if m.Declined {
+		e.declined(now, out)
+		e.mu.Unlock()
+		return
+	}
 	delete(s.waiting, m.Incarnation)
 	if len(s.waiting) > 0 {
 		e.mu.Unlock()
@@ -256,7 +279,13 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.prober.Leaving() {
+	if e.prober.Leaving() && !e.inherited(h.Incarnation) {
+		// A host that leaves stays one that leaves, so this holds for good.
+		delete(e.parts, h.Incarnation)
+		out.Peer(from, cactuspin.PeerMessage{HandoverDone: &cactuspin.HandoverDone{
+			Incarnation: h.Incarnation,
+			Declined:    true,
+		}})
 		return
 	}
 	if !e.inherited(h.Incarnation) {
--- a/internal/standin/emulator/oracle.go
+++ b/internal/standin/emulator/oracle.go
@@ -31,8 +31,10 @@
 	feeds     []*Feed
 	addresses map[string]netip.AddrPort
 	left      map[cactuspin.Target]cactuspin.Time
-	acceptAt  map[cactuspin.BundleVersion]cactuspin.Time
-	highest   map[cactuspin.HostID]cactuspin.BundleVersion
+	// listed are targets that leave by the platform's list alone.
+	listed   map[cactuspin.Target]bool
+	acceptAt map[cactuspin.BundleVersion]cactuspin.Time
+	highest  map[cactuspin.HostID]cactuspin.BundleVersion
 	// excusedUntil is the end of the bad weather.
 	excusedUntil cactuspin.Time
 }
@@ -44,6 +46,7 @@
 		runs:      make(map[string]int),
 		addresses: make(map[string]netip.AddrPort),
 		left:      make(map[cactuspin.Target]cactuspin.Time),
+		listed:    make(map[cactuspin.Target]bool),
 		acceptAt:  make(map[cactuspin.BundleVersion]cactuspin.Time),
 		highest:   make(map[cactuspin.HostID]cactuspin.BundleVersion),
 	}
@@ -92,8 +95,16 @@
 // registered notes a new observation at a target.
 func (o *Oracle) registered(t *Target, _ cactuspin.TargetSend) { o.checkLeft(t, "an observation") }
 
+// checkLeft counts from when the hosts could learn that the target leaves: what
+// only the platform knows can't be learned while it is down.
 func (o *Oracle) checkLeft(t *Target, what string) {
 	at, ok := o.left[t.Address]
+	if o.listed[t.Address] {
+		if o.e.Platform.Down {
+			return
+		}
+		at = max(at, o.e.Platform.upAt)
+	}
 	if ok && o.e.now.Sub(at) > NoWorkAfter {
 		o.Fail("leaving target %s got %s after %s", t.Address, what, o.e.now.Sub(at))
 	}
@@ -102,7 +113,10 @@
 func (o *Oracle) accepted(v cactuspin.BundleVersion) { o.acceptAt[v] = o.e.now }
 
 // Left tells the oracle that a target leaves by a bundle.
-func (o *Oracle) Left(t cactuspin.Target) { o.left[t] = o.e.now }
+func (o *Oracle) Left(t cactuspin.Target) {
+	o.left[t] = o.e.now
+	delete(o.listed, t)
+}
 
 // checkVersion sees that a host never goes back to an older bundle. A restarted
 // host has none at first, which is not an older one.
--- a/internal/standin/emulator/platform.go
+++ b/internal/standin/emulator/platform.go
@@ -39,6 +39,8 @@
 	// Calls counts the calls of hosts.
 	Calls int
 
+	// upAt is when the platform last came back.
+	upAt   cactuspin.Time
 	e      *Emulator
 	values []*cactuspin.SignedBundle
 	list   cactuspin.HostList
@@ -49,6 +51,15 @@
 	return &Platform{e: e, listed: make(map[cactuspin.HostID]bool)}
 }
 
+// Outage takes the platform down for a time.
+func (p *Platform) Outage(d time.Duration) {
+	p.Down = true
+	p.e.After(d, func() {
+		p.Down = false
+		p.upAt = p.e.now
+	})
+}
+
 // Accepted returns the last bundle that was accepted, or nil.
 func (p *Platform) Accepted() *cactuspin.SignedBundle {
 	if len(p.values) == 0 {
@@ -129,7 +140,10 @@
 func (p *Platform) LeaveTarget(t cactuspin.Target) {
 	p.list.Targets = append(p.list.Targets, cactuspin.ListedTarget{Address: t, State: cactuspin.StateLeaving})
 	p.list.Revision++
-	p.e.Oracle.left[t] = p.e.now
+	if _, ok := p.e.Oracle.left[t]; !ok {
+		p.e.Oracle.left[t] = p.e.now
+		p.e.Oracle.listed[t] = true
+	}
 }
 
 // anyHost is where the fabric hands a datagram.
--- a/internal/standin/loader/loader.go
+++ b/internal/standin/loader/loader.go
@@ -39,6 +39,8 @@
 	// Flows is the number of callers that order and fetch.
 	Flows    int
 	Duration time.Duration
+	// NewFlows makes each order open a flow of its own.
+	NewFlows bool
 	// Run makes the IDs of orders unique.
 	Run string
 	// Sample returns what the targets hold; it is called while all feeds are open.
@@ -152,6 +154,9 @@
 }
 
 func (l *Loader) order(ctx context.Context, k *caller.Caller, id string) {
+	if l.cfg.NewFlows {
+		k.Forget()
+	}
 	r := caller.Post("/orders", []byte("springs=2"))
 	r.Queries = []string{"s=" + l.cfg.OrderService, "id=" + id}
 	a, err := k.Do(ctx, r)
--- /dev/null
+++ b/internal/standin/tester/balance.go
@@ -0,0 +1,118 @@
+package tester
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/configuration/bundler"
+	"github.com/cactuspin/cactuspin/internal/routing/placer"
+	"github.com/cactuspin/cactuspin/internal/standin/emulator"
+)
+
+// FlowImbalance places n flows of the order desk by hash and returns the largest
+// number at a target over the mean. Each host spreads its flows evenly.
+func (m *Matrix) FlowImbalance(n int) (worst float64, err error) {
+	b, err := bundler.Parse(m.Bundles[0])
+	if err != nil {
+		return 0, err
+	}
+	var ms []placer.Member
+	for i := range hosts {
+		ms = append(ms, placer.Member{
+			Host: cactuspin.HostID(i + 1), Zone: zones[i%len(zones)], Incarnation: cactuspin.Incarnation(i + 1),
+		})
+	}
+	v := placer.NewView(placer.ViewConfig{Self: 1, Zone: zones[0], Members: ms, Bundle: b})
+	s := v.Service(cactuspin.NewServiceID(orderService))
+	r := rand.New(rand.NewPCG(m.Seed, 4))
+	held := make(map[cactuspin.HostID]int)
+	for range n {
+		ip := netip.AddrFrom4([4]byte{10, byte(r.UintN(256)), byte(r.UintN(256)), byte(r.UintN(256))})
+		caller := netip.AddrPortFrom(ip, uint16(r.UintN(1<<16)))
+		if h, ok := s.Home(placer.FlowHash(caller, s.Service.Address), nil); ok {
+			held[h]++
+		}
+	}
+	mean := float64(n) / float64(len(s.Service.Targets))
+	for _, c := range s.Candidates {
+		targets := int(c.Weight) / s.Service.Targets[0].Slots
+		most := (held[c.Host] + targets - 1) / targets
+		worst = max(worst, float64(most)/mean)
+	}
+	return worst, nil
+}
+
+// Disturbance is what is wrong with one target in a measurement of balance.
+type Disturbance string
+
+// The disturbances.
+const (
+	DisturbanceNone    Disturbance = "none"
+	DisturbanceCold    Disturbance = "one target cold"
+	DisturbanceSheds   Disturbance = "one target sheds all"
+	DisturbanceLeaving Disturbance = "one target leaving"
+)
+
+// balanceFlows is the number of flows that order.
+const balanceFlows = 2000
+
+// balanceTime is how long balance is measured.
+const balanceTime = 5 * time.Second
+
+// BusyImbalance runs orders at half of the capacity and returns the busy time of
+// the busiest target over the mean of the undisturbed ones, and the share of the
+// orders that were answered whole.
+func (m *Matrix) BusyImbalance(d Disturbance) (worst, whole float64, err error) {
+	c, err := m.newCell(m.Seed, nil)
+	if err != nil {
+		return 0, 0, err
+	}
+	ts := c.e.Targets(orderService)
+	switch d {
+	case DisturbanceCold:
+		ts[0].Restart(balanceTime)
+	case DisturbanceSheds:
+		ts[0].Shed = true
+	case DisturbanceLeaving:
+		c.e.Platform.LeaveTarget(ts[0].Address)
+	case DisturbanceNone:
+	}
+	before := make([]time.Duration, len(ts))
+	for i, t := range ts {
+		before[i] = t.BusyTime
+	}
+	const half = 0.5
+	c.orderFlows = balanceFlows
+	rate := half * capacity(c.e)
+	n := int(rate * balanceTime.Seconds())
+	for i := range n {
+		c.e.After(time.Duration(float64(i)/rate*float64(time.Second)), c.nextOrder)
+	}
+	c.e.Run(balanceTime + time.Second)
+	worst = busiest(ts, before, d)
+	answered := 0
+	for _, x := range c.e.Oracle.Exchanges() {
+		if x.Told == emulator.ToldWhole {
+			answered++
+		}
+	}
+	return worst, float64(answered) / float64(len(c.e.Oracle.Exchanges())), nil
+}
+
+// busiest returns the busy time of the busiest target over the mean. The first
+// target does not count when it is the disturbed one.
+func busiest(ts []*emulator.Target, before []time.Duration, d Disturbance) float64 {
+	sum, most, counted := time.Duration(0), time.Duration(0), 0
+	for i, t := range ts {
+		if i == 0 && d != DisturbanceNone {
+			continue
+		}
+		busy := t.BusyTime - before[i]
+		sum += busy
+		most = max(most, busy)
+		counted++
+	}
+	return float64(most) * float64(counted) / float64(sum)
+}
--- a/internal/standin/tester/cell.go
+++ b/internal/standin/tester/cell.go
@@ -38,6 +38,8 @@
 	target *emulator.Target
 	steps  int
 	caller *emulator.Caller
+	// idle is a caller that orders before a change and long after it.
+	idle   *emulator.Caller
 	feed   *emulator.Feed
 	order  *emulator.Exchange
 	longer time.Duration
@@ -45,8 +47,9 @@
 	// planned is set when no change of the run is a failure.
 	planned bool
 	// flows are the callers that order in a story.
-	flows   []*emulator.Caller
-	ordered int
+	flows      []*emulator.Caller
+	orderFlows int
+	ordered    int
 }
 
 // Trace gets a line for each decision of a cell, if it is set.
--- a/internal/standin/tester/strikes.go
+++ b/internal/standin/tester/strikes.go
@@ -141,8 +141,7 @@
 	p, e := c.e.Platform, c.e
 	switch f.Do {
 	case "platform_down":
-		p.Down = true
-		e.After(f.For, func() { p.Down = false })
+		p.Outage(f.For)
 	case "platform_slow":
 		p.Slow = slowAnswer
 		e.After(f.For, func() { p.Slow = 0 })
--- a/message.go
+++ b/message.go
@@ -145,7 +145,9 @@
 	Inherited   []Inheritance `cbor:"7,keyasint,omitempty"`
 }
 
-// HandoverDone confirms that all parts of a handover have arrived.
+// HandoverDone confirms that all parts of a handover have arrived, or declines it
+// for good: the sender does not hold the authority and never will.
 type HandoverDone struct {
 	Incarnation Incarnation `cbor:"1,keyasint"`
+	Declined    bool        `cbor:"2,keyasint,omitempty"`
 }
