Find the authority through a host that hears it

Cause: in the story of a zone that is cut off for 15 s 166 of 400 orders were told 'may have run' (make floods, table of ends), most of them by hosts that could not hear a living authority and took it for gone after 3 s. Ruled out: waiting longer in every case, which leaves orders of a dead host without a word; the silence of one host of a heard zone still counts after 3 s. Change: heartbeats list whom the sender hears; an order whose authority is out of reach goes through a host that hears it; a host is gone only when nobody reports hearing it, and after 10 s instead of 3 when its whole zone is silent.

--- a/internal/host/engine/router.go
+++ b/internal/host/engine/router.go
@@ -110,6 +110,9 @@
 		if r.request.Method.Idempotent() {
 			return false
 		}
+		if h, ok := e.via(r); ok {
+			return e.relay(r, h, "authority is heard there", out)
+		}
 		r.decide(cactuspin.DecisionDrop, "authority is out of reach", r.cookie.Host, out)
 		return true
 	case prober.StatusGone:
@@ -181,6 +184,13 @@
 	return placer.Pick(placer.FlowHash(r.request.Caller, r.request.Service), cs, nil)
 }
 
+// via returns a host that hears the authority while this one does not.
+func (e *Engine) via(r *routed) (h cactuspin.HostID, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.prober.Via(r.cookie.Host)
+}
+
 // unknownAddress refuses what no bundle in force here has a service for. A
 // request without a cookie that is not idempotent has run nowhere.
 func unknownAddress(e *Engine, r *routed, out *cactuspin.Actions) bool {
--- a/internal/membership/prober/prober.go
+++ b/internal/membership/prober/prober.go
@@ -17,8 +17,12 @@
 	Period = 300 * time.Millisecond
 	// SuspectAfter is the silence after which a host gets no new flows.
 	SuspectAfter = 1000 * time.Millisecond
-	// GoneAfter is the silence after which a host's authority counts as lost.
+	// GoneAfter is the silence after which a host's authority counts as lost, when
+	// others of its zone are heard.
 	GoneAfter = 3 * time.Second
+	// ZoneGoneAfter is the same when its whole zone is silent: it may be cut off
+	// and alive, and the caller's next copy may reach it.
+	ZoneGoneAfter = 10 * time.Second
 )
 
 // Status is what is known of an incarnation of a host.
@@ -150,9 +154,30 @@
 		Zone:        p.cfg.Zone,
 		Leaving:     p.leaving,
 		Inherited:   p.inherits,
+		Hears:       p.hears(),
 	}
 }
 
+// hears returns the hosts that answer.
+func (p *Prober) hears() (hs []cactuspin.HostID) {
+	for _, id := range p.ids() {
+		if p.peers[id].live {
+			hs = append(hs, id)
+		}
+	}
+	return hs
+}
+
+// Via returns a host that answers and hears one that this host does not.
+func (p *Prober) Via(h cactuspin.HostID) (via cactuspin.HostID, ok bool) {
+	for _, id := range p.ids() {
+		if x := p.peers[id]; id != h && x.live && slices.Contains(x.heartbeat.Hears, h) {
+			return id, true
+		}
+	}
+	return 0, false
+}
+
 // Status tells what is known of an incarnation of a host that is named by a
 // cookie issued at issued seconds. A host that was never heard may have joined
 // just before the cookie was issued, and reach others first.
@@ -171,12 +196,34 @@
 	if x.live {
 		return StatusLive
 	}
-	if p.silent(now, x) {
+	if p.gone(now, x) {
 		return StatusGone
 	}
 	return StatusUnknown
 }
 
+// gone tells whether a silent host counts as lost: no other host hears it, and it
+// is silent for long or its zone is not cut off.
+func (p *Prober) gone(now cactuspin.Time, x *peer) bool {
+	if _, ok := p.Via(x.id); ok || !p.silent(now, x) {
+		return false
+	}
+	return p.hearsZone(x) || now.Sub(x.heard) >= ZoneGoneAfter
+}
+
+// hearsZone tells whether another host of a host's zone answers.
+func (p *Prober) hearsZone(x *peer) bool {
+	if x.heartbeat.Zone == p.cfg.Zone {
+		return true
+	}
+	for _, o := range p.peers {
+		if o != x && o.live && o.heartbeat.Zone == x.heartbeat.Zone {
+			return true
+		}
+	}
+	return false
+}
+
 // replaced judges an incarnation that is not the one last heard at its host. A
 // cookie issued a moment ago may name one that is about to be heard.
 func (p *Prober) replaced(now cactuspin.Time, x *peer, issued uint32) Status {
--- a/internal/standin/tester/strikes.go
+++ b/internal/standin/tester/strikes.go
@@ -127,6 +127,8 @@
 				e.After(f.For, func() { e.Cut(z, o, false) })
 			}
 		}
+	case "cut_pair":
+		c.cutPair(f)
 	case "cut_platform":
 		z := c.host.Zone
 		e.CutPlatform(z, true)
@@ -137,6 +139,17 @@
 	return true
 }
 
+// cutPair cuts the struck host's zone off from one other; the third hears both.
+func (c *cell) cutPair(f Fault) {
+	other := zones[0]
+	if c.host.Zone == other {
+		other = zones[1]
+	}
+	z := c.host.Zone
+	c.e.Cut(z, other, true)
+	c.e.After(f.For, func() { c.e.Cut(z, other, false) })
+}
+
 func (c *cell) strikePlatform(f Fault) {
 	p, e := c.e.Platform, c.e
 	switch f.Do {
