--- a/internal/admission/dispatcher/dispatcher.go
+++ b/internal/admission/dispatcher/dispatcher.go
@@ -66,6 +66,8 @@
 
 	feeds feedTable
 	links map[cactuspin.Target]*link
+	// leaving holds since when targets leave.
+	leaving map[cactuspin.Target]cactuspin.Time
 	// prefer remembers where the first block of an answer came from.
 	prefer map[uint64]preference
 
@@ -86,6 +88,7 @@
 		running:     make(map[uint64]*job),
 		feeds:       newFeedTable(),
 		links:       make(map[cactuspin.Target]*link),
+		leaving:     make(map[cactuspin.Target]cactuspin.Time),
 		prefer:      make(map[uint64]preference),
 		retryAfter:  c.RetryAfter,
 	}
--- a/internal/admission/dispatcher/feed.go
+++ b/internal/admission/dispatcher/feed.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/cactuspin/cactuspin"
-	"github.com/cactuspin/cactuspin/internal/routing/placer"
 )
 
 // Times of an observation.
@@ -66,6 +65,8 @@
 type feedTable struct {
 	byKey      map[cactuspin.FeedKey]*feed
 	byExchange map[cactuspin.ExchangeID]*feed
+	// byMessage leads from the last message ID sent to a caller to its observation.
+	byMessage map[messageKey]*feed
 	// order holds the observations in the order of their arrival; ended ones
 	// leave a nil until the table is compacted.
 	order []*feed
@@ -84,6 +85,7 @@
 	return feedTable{
 		byKey:      make(map[cactuspin.FeedKey]*feed),
 		byExchange: make(map[cactuspin.ExchangeID]*feed),
+		byMessage:  make(map[messageKey]*feed),
 		copies:     make(map[cactuspin.FeedKey]feedCopy),
 	}
 }
@@ -296,6 +298,7 @@
 		d.unregister(f.next, f, out)
 	}
 	delete(d.feeds.byKey, f.key)
+	d.feeds.forgetMessage(f)
 	d.feeds.order[f.slot] = nil
 	if f.copied != 0 {
 		out.Peer(f.copied, cactuspin.PeerMessage{FeedForget: &cactuspin.FeedMoved{Key: f.key}})
@@ -337,28 +340,6 @@
 	}
 }
 
-// nextMessageID picks a message ID that leads the caller's acknowledgement back
-// to this host.
-func (d *Dispatcher) nextMessageID(f *feed) uint16 {
-	flow := placer.FlowHash(f.key.Caller, f.key.Service)
-	f.messageID = placer.MessageIDFor(flow, f.messageID+1, d.cfg.Self, d.view.Hosts)
-	return f.messageID
-}
-
-// Acknowledge takes a caller's empty message about one of its observations.
-func (d *Dispatcher) Acknowledge(now cactuspin.Time, a cactuspin.Acknowledgement, out *cactuspin.Actions) {
-	for _, f := range d.feeds.order {
-		if f == nil || f.key.Caller != a.Caller || f.messageID != a.MessageID {
-			continue
-		}
-		f.heard = now
-		if a.Reset {
-			d.endFeed(now, f, "reset by the caller", out)
-		}
-		return
-	}
-}
-
 // advance moves the Observe value on.
 func (f *feed) advance(now cactuspin.Time) {
 	clock := uint32(int64(now)/int64(sequenceUnit)) & sequenceMask
--- a/internal/admission/dispatcher/link.go
+++ b/internal/admission/dispatcher/link.go
@@ -36,6 +36,7 @@
 			Connections: r.Connections,
 			Leaving:     r.State == cactuspin.StateLeaving,
 		})
+		d.noteLeaving(now, r)
 		d.connect(now, r.Address, out)
 	}
 	for _, t := range d.targets() {
@@ -47,6 +48,18 @@
 	}
 }
 
+// noteLeaving remembers since when a target leaves; its drain limit counts from
+// then.
+func (d *Dispatcher) noteLeaving(now cactuspin.Time, r cactuspin.TargetRule) {
+	if r.State != cactuspin.StateLeaving {
+		delete(d.leaving, r.Address)
+		return
+	}
+	if _, ok := d.leaving[r.Address]; !ok {
+		d.leaving[r.Address] = now
+	}
+}
+
 func (d *Dispatcher) connect(now cactuspin.Time, t cactuspin.Target, out *cactuspin.Actions) {
 	l, ok := d.links[t]
 	if !ok {
@@ -173,6 +186,7 @@
 		case !l.owned && d.limiter.Busy(t) == 0 && d.limiter.Feeds(t) == 0:
 			out.Control(t, cactuspin.TargetClose)
 			delete(d.links, t)
+			delete(d.leaving, t)
 		case !l.connected && now.Sub(l.dialed) >= redialAfter:
 			d.dial(now, t, out)
 		case l.connected && now.Sub(l.heard) >= silentAfter && l.pinged > l.heard:
--- a/internal/admission/dispatcher/mover.go
+++ b/internal/admission/dispatcher/mover.go
@@ -83,13 +83,30 @@
 
 // endMoved ends an observation whose address went to another service.
 func (d *Dispatcher) endMoved(now cactuspin.Time, f *feed, out *cactuspin.Actions) {
+	d.endTold(now, f, cactuspin.CodeNotFound, "the service has left this address", out)
+}
+
+// endDrained ends an observation at a target whose drain limit is over when no
+// other target can take it.
+func (d *Dispatcher) endDrained(now cactuspin.Time, f *feed, out *cactuspin.Actions) {
+	since, ok := d.leaving[f.at.target]
+	limit := d.service.Drain.Limit
+	if !ok || limit == 0 || now.Sub(since) < limit {
+		return
+	}
+	d.endTold(now, f, cactuspin.CodeServiceUnavailable, "the target has left and no other is free", out)
+}
+
+// endTold ends an observation with an error that its caller is told.
+func (d *Dispatcher) endTold(now cactuspin.Time, f *feed, code cactuspin.Code, why string, out *cactuspin.Actions) {
 	a := d.notification(now, f, cactuspin.AnswerConfirmable)
 	a.Notification = false
-	a.Code = cactuspin.CodeNotFound
+	a.Code = code
+	a.MaxAge = d.retryAfter
 	a.Options = nil
-	a.Payload = []byte("the service has left this address")
+	a.Payload = []byte(why)
 	out.Answer(a)
-	d.endFeed(now, f, "address belongs to another service", out)
+	d.endFeed(now, f, why, out)
 }
 
 // move brings an observation to the host that it belongs to, or to another
@@ -114,6 +131,7 @@
 	}
 	t, ok := d.limiter.TakeFeed(now)
 	if !ok {
+		d.endDrained(now, f, out)
 		return false
 	}
 	r := d.sendRegistration(now, f, t, out)
--- a/internal/host/engine/engine_test.go
+++ b/internal/host/engine/engine_test.go
@@ -145,3 +145,37 @@
 	r.Method = cactuspin.MethodGet
 	g.Expect(s.ask(r).Code).To(Equal(cactuspin.CodeTooManyRequests), "nothing is said of other copies")
 }
+
+func TestADrainedTargetIsLeftAtItsLimit(t *testing.T) {
+	g := NewWithT(t)
+	s := newSite(t)
+	target := cactuspin.TargetSignal{Target: shopTarget, Kind: cactuspin.SignalConnected}
+	s.engine.Target(s.now, target, s.out)
+	r := order(nil)
+	r.Method, r.Path, r.Observe = cactuspin.MethodGet, "/stock", cactuspin.ObserveRegister
+	s.ask(r)
+	g.Expect(s.out.Sends).To(HaveLen(1))
+	state := cactuspin.TargetSignal{
+		Target: shopTarget, Kind: cactuspin.SignalAnswer, Exchange: s.out.Sends[0].Exchange,
+		Code: cactuspin.CodeContent, Notification: true, Payload: []byte("springs 7"),
+	}
+	s.out.Reset()
+	s.engine.Target(s.now, state, s.out)
+	g.Expect(s.out.Answers).To(HaveLen(1))
+
+	drained := strings.NewReplacer("version: 1", "version: 2", "connections: 400000}", "connections: 400000, state: leaving}",
+		"    kinds:", "    drain: {limit: 2s}\n    kinds:").Replace(text)
+	s.apply(drained, 2)
+	var told []cactuspin.Answer
+	for range 250 {
+		s.engine.Target(s.now, cactuspin.TargetSignal{Target: shopTarget, Kind: cactuspin.SignalPong}, s.out)
+		s.pass(10 * time.Millisecond)
+		told = append(told, s.out.Answers...)
+		if s.now.Sub(start) < 4*time.Second {
+			g.Expect(told).To(BeEmpty(), "before the limit")
+		}
+	}
+	g.Expect(told).To(HaveLen(1))
+	g.Expect(told[0].Code).To(Equal(cactuspin.CodeServiceUnavailable))
+	g.Expect(s.engine.Stats().Feeds).To(BeZero())
+}
