--- a/internal/membership/prober/prober.go
+++ b/internal/membership/prober/prober.go
@@ -158,8 +158,15 @@
 	}
 }
 
-// hears returns the hosts that answer.
+// maxHears is the number of other hosts up to which a heartbeat lists them: its
+// size would grow with their number.
+const maxHears = 32
+
+// hears returns the hosts that answer, or none when they are many.
 func (p *Prober) hears() (hs []cactuspin.HostID) {
+	if len(p.peers) > maxHears {
+		return nil
+	}
 	for _, id := range p.ids() {
 		if p.peers[id].live {
 			hs = append(hs, id)
