Even out the observations of a host's targets

After a change of owners a host's new target only got new observations. Ruled out: moving many at a time, which overshoots while they are under way. Change: while one of a host's targets holds clearly more than another, one observation a tick is registered there, before the old registration ends.

--- a/internal/admission/dispatcher/mover.go
+++ b/internal/admission/dispatcher/mover.go
@@ -12,6 +12,7 @@
 	feedsPerTick  = 512
 	movesPerTick  = 16
 	copiesPerTick = 1
+	evensPerTick  = 1
 	moveTimeout   = 2 * time.Second
 )
 
@@ -19,13 +20,16 @@
 type upkeep struct {
 	moves  int
 	copies int
+	// evens are moves that only make the targets more even. There is one at a
+	// time, so that it is counted before the next is decided.
+	evens int
 }
 
 // tickFeeds keeps a part of the observations: it registers what lost its
 // target, moves what belongs elsewhere and ends what its caller left.
 func (d *Dispatcher) tickFeeds(now cactuspin.Time, out *cactuspin.Actions) {
 	d.feeds.compact()
-	u := upkeep{moves: movesPerTick, copies: copiesPerTick}
+	u := upkeep{moves: movesPerTick, copies: copiesPerTick, evens: evensPerTick}
 	n := min(feedsPerTick, len(d.feeds.order))
 	for range n {
 		if d.feeds.cursor >= len(d.feeds.order) {
@@ -58,7 +62,7 @@
 		f.probed = now
 		d.notify(now, f, cactuspin.AnswerConfirmable, out)
 	}
-	if u.moves > 0 && d.move(now, f, out) {
+	if u.moves > 0 && d.move(now, f, u, out) {
 		u.moves--
 	}
 	if u.copies > 0 && d.copyOut(now, f, out) {
@@ -111,7 +115,7 @@
 
 // move brings an observation to the host that it belongs to, or to another
 // target when its own leaves. The old registration ends when the new one stands.
-func (d *Dispatcher) move(now cactuspin.Time, f *feed, out *cactuspin.Actions) bool {
+func (d *Dispatcher) move(now cactuspin.Time, f *feed, u *upkeep, out *cactuspin.Actions) bool {
 	if !f.at.live || d.cfg.Suspended() {
 		return false
 	}
@@ -127,7 +131,10 @@
 		return false
 	}
 	if d.limiter.Usable(f.at.target) {
-		return false
+		if u.evens == 0 || !d.limiter.Uneven(now, f.at.target) {
+			return false
+		}
+		u.evens--
 	}
 	t, ok := d.limiter.TakeFeed(now)
 	if !ok {
--- a/internal/admission/limiter/target.go
+++ b/internal/admission/limiter/target.go
@@ -115,6 +115,31 @@
 	return best.address, true
 }
 
+// A target counts as uneven when it holds so many observations more than another,
+// or this part of them.
+const (
+	minUneven  = 4
+	unevenPart = 20
+)
+
+// Uneven tells whether the target holds clearly more observations than another
+// that could take some.
+func (l *Limiter) Uneven(now cactuspin.Time, a cactuspin.Target) bool {
+	t, ok := l.targets[a]
+	if !ok {
+		return false
+	}
+	for _, o := range l.order {
+		if !o.connected || o.leaving || o.feeds >= o.connections || now < o.pausedUntil {
+			continue
+		}
+		if t.feeds-o.feeds > max(minUneven, t.feeds/unevenPart) {
+			return true
+		}
+	}
+	return false
+}
+
 // ReleaseFeed counts one observation less at the target.
 func (l *Limiter) ReleaseFeed(a cactuspin.Target) {
 	t, ok := l.targets[a]
