Say once what stood twice, and sort shards only when one is added

Engine and dispatcher each addressed answers by themselves; loss and doubling stood twice in the emulator, the site's flags four times in the measuring commands; every signal of a target sorted all shards anew. Change: Request.Reply, Emulator.transmit and one site of flags serve all; the order of the shards is kept when one is added. Behaviour and checks are the same. Ruled out: joining constant blocks and imports that only look alike.

--- a/internal/admission/dispatcher/answer.go
+++ b/internal/admission/dispatcher/answer.go
@@ -97,7 +97,7 @@
 
 // answer sends an outcome to the caller, with a fresh cookie.
 func (d *Dispatcher) answer(now cactuspin.Time, j *job, code cactuspin.Code, options []cactuspin.Option, payload []byte, out *cactuspin.Actions) {
-	a := reply(&j.request, code)
+	a := j.request.Reply(code)
 	a.Options = options
 	a.Payload = payload
 	a.Cookie = d.cfg.Mint(now, j.request, d.cfg.Service)
@@ -113,7 +113,7 @@
 		code = cactuspin.CodeTooManyRequests
 		why = "refused; ask again"
 	}
-	a := reply(&j.request, code)
+	a := j.request.Reply(code)
 	a.MaxAge = d.retryAfter
 	a.Payload = []byte(why)
 	a.Cookie = d.cfg.Mint(now, j.request, d.cfg.Service)
@@ -121,24 +121,8 @@
 }
 
 func (d *Dispatcher) answerUnknown(now cactuspin.Time, j *job, why string, out *cactuspin.Actions) {
-	a := reply(&j.request, cactuspin.CodeGatewayTimeout)
+	a := j.request.Reply(cactuspin.CodeGatewayTimeout)
 	a.Payload = []byte(why)
 	a.Cookie = d.cfg.Mint(now, j.request, d.cfg.Service)
 	out.Answer(a)
 }
-
-// reply addresses an answer to the caller of a request.
-func reply(r *cactuspin.Request, code cactuspin.Code) cactuspin.Answer {
-	a := cactuspin.Answer{
-		Caller:    r.Caller,
-		Service:   r.Service,
-		Token:     r.Token,
-		MessageID: r.MessageID,
-		Type:      cactuspin.AnswerNonConfirmable,
-		Code:      code,
-	}
-	if r.Confirmable {
-		a.Type = cactuspin.AnswerAcknowledgement
-	}
-	return a
-}
--- a/internal/admission/dispatcher/feed.go
+++ b/internal/admission/dispatcher/feed.go
@@ -122,7 +122,7 @@
 }
 
 func (d *Dispatcher) cancelObserve(now cactuspin.Time, f *feed, r cactuspin.Request, out *cactuspin.Actions) {
-	a := reply(&r, cactuspin.CodeContent)
+	a := r.Reply(cactuspin.CodeContent)
 	if f != nil {
 		a.Options = f.format
 		a.Payload = f.payload
@@ -168,7 +168,7 @@
 	if h, ok := d.feedHome(f); ok && h != d.cfg.Self {
 		return
 	}
-	a := reply(f.waiting, cactuspin.CodeTooManyRequests)
+	a := f.waiting.Reply(cactuspin.CodeTooManyRequests)
 	a.MaxAge = d.retryAfter
 	a.Payload = []byte("refused; ask again")
 	out.Answer(a)
@@ -241,7 +241,7 @@
 	}
 	a := d.notification(now, f, cactuspin.AnswerConfirmable)
 	if f.waiting != nil {
-		a = reply(f.waiting, s.Code)
+		a = f.waiting.Reply(s.Code)
 	}
 	a.Notification = false
 	a.Code = s.Code
@@ -309,7 +309,7 @@
 // answerRefresh answers a registration or refresh with the current state.
 func (d *Dispatcher) answerRefresh(now cactuspin.Time, f *feed, r *cactuspin.Request, out *cactuspin.Actions) {
 	f.advance(now)
-	a := reply(r, f.code)
+	a := r.Reply(f.code)
 	a.Notification = true
 	a.Sequence = f.sequence
 	a.Options = f.format
--- a/internal/app/standin/floods.go
+++ b/internal/app/standin/floods.go
@@ -15,10 +15,9 @@
 // floods prints what each kind of work keeps in floods, beside the baselines.
 func floods(a *kingpin.Application, out io.Writer) (*kingpin.CmdClause, func(context.Context) error) {
 	c := a.Command("floods", "Measure floods in the emulator and with simple baselines.")
-	file := c.Arg("file", "Matrix file, for seed and site.").Required().String()
-	bundles := c.Flag("bundle", "The first and the second bundle.").Required().Strings()
+	site := newSite(c)
 	return c, func(context.Context) error {
-		m, err := tester.Load(*file, *bundles...)
+		m, err := site.load()
 		if err != nil {
 			return err
 		}
@@ -64,10 +63,9 @@
 // balance prints how evenly flows and busy slots are spread.
 func balance(a *kingpin.Application, out io.Writer) (*kingpin.CmdClause, func(context.Context) error) {
 	c := a.Command("balance", "Measure the balance of flows and of busy slots in the emulator.")
-	file := c.Arg("file", "Matrix file, for seed and site.").Required().String()
-	bundles := c.Flag("bundle", "The first and the second bundle.").Required().Strings()
+	site := newSite(c)
 	return c, func(context.Context) error {
-		m, err := tester.Load(*file, *bundles...)
+		m, err := site.load()
 		if err != nil {
 			return err
 		}
@@ -136,11 +134,10 @@
 // ends prints how the orders of each story ended.
 func ends(a *kingpin.Application, out io.Writer) (*kingpin.CmdClause, func(context.Context) error) {
 	c := a.Command("ends", "Show how the orders of each story ended.")
-	file := c.Arg("file", "Matrix file, for the site.").Required().String()
-	bundles := c.Flag("bundle", "The first and the second bundle.").Required().Strings()
+	site := newSite(c)
 	stories := c.Flag("story", "Story file; can be repeated.").Required().Strings()
 	return c, func(context.Context) error {
-		m, err := tester.Load(*file, *bundles...)
+		m, err := site.load()
 		if err != nil {
 			return err
 		}
--- a/internal/app/standin/matrix.go
+++ b/internal/app/standin/matrix.go
@@ -13,15 +13,29 @@
 	"github.com/cactuspin/cactuspin/internal/standin/tester"
 )
 
+// site is what every command that runs the emulator is told.
+type site struct {
+	file    *string
+	bundles *[]string
+}
+
+func newSite(c *kingpin.CmdClause) site {
+	return site{
+		file:    c.Arg("file", "Matrix file, for seed and site.").Required().String(),
+		bundles: c.Flag("bundle", "The first and the second bundle.").Required().Strings(),
+	}
+}
+
+func (s site) load() (tester.Matrix, error) { return tester.Load(*s.file, *s.bundles...) }
+
 // matrix runs the fault matrix. Its last line is "N passed, N failed".
 func matrix(a *kingpin.Application, out io.Writer) (*kingpin.CmdClause, func(context.Context) error) {
 	c := a.Command("matrix", "Run the fault matrix in the emulator.")
-	file := c.Arg("file", "Matrix file.").Required().String()
-	bundles := c.Flag("bundle", "The first and the second bundle.").Required().Strings()
+	site := newSite(c)
 	part := c.Flag("part", "Run one cell in so many.").Default("1").Int()
 	cell := c.Flag("cell", "Run only the cell of this name, with a trace.").String()
 	return c, func(ctx context.Context) error {
-		m, err := tester.Load(*file, *bundles...)
+		m, err := site.load()
 		if err != nil {
 			return err
 		}
--- a/internal/host/engine/engine.go
+++ b/internal/host/engine/engine.go
@@ -67,8 +67,11 @@
 	parts map[cactuspin.Incarnation]map[uint32]cactuspin.Handover
 	loads loadBoard
 
-	shards    sync.RWMutex
-	services  map[cactuspin.ServiceID]*shard
+	shards   sync.RWMutex
+	services map[cactuspin.ServiceID]*shard
+	// order holds the shards by ID. It is replaced, never changed, when one is
+	// added.
+	order     []*shard
 	flows     atomic.Uint64
 	exchanges atomic.Uint64
 }
@@ -149,6 +152,9 @@
 	s = &shard{id: id, dispatcher: dispatcher.New(e.dispatcherConfig(id))}
 	s.dispatcher.Configure(now, e.View(), 0, out)
 	e.services[id] = s
+	e.order = slices.SortedFunc(maps.Values(e.services), func(a, b *shard) int {
+		return cmp.Compare(a.id, b.id)
+	})
 	return s
 }
 
@@ -173,9 +179,7 @@
 func (e *Engine) allShards() []*shard {
 	e.shards.RLock()
 	defer e.shards.RUnlock()
-	return slices.SortedFunc(maps.Values(e.services), func(a, b *shard) int {
-		return cmp.Compare(a.id, b.id)
-	})
+	return e.order
 }
 
 // Stats are figures of a host for metrics and status.
--- a/internal/host/engine/router.go
+++ b/internal/host/engine/router.go
@@ -260,18 +260,8 @@
 
 // answer gives a caller an answer that this host can give by itself.
 func (e *Engine) answer(r *routed, code cactuspin.Code, text string, out *cactuspin.Actions) {
-	a := cactuspin.Answer{
-		Caller:    r.request.Caller,
-		Service:   r.request.Service,
-		Token:     r.request.Token,
-		MessageID: r.request.MessageID,
-		Type:      cactuspin.AnswerNonConfirmable,
-		Code:      code,
-		Payload:   []byte(text),
-	}
-	if r.request.Confirmable {
-		a.Type = cactuspin.AnswerAcknowledgement
-	}
+	a := r.request.Reply(code)
+	a.Payload = []byte(text)
 	if code == cactuspin.CodeServiceUnavailable || code == cactuspin.CodeTooManyRequests {
 		a.MaxAge = defaultRetryAfter
 	}
--- a/internal/standin/emulator/emulator.go
+++ b/internal/standin/emulator/emulator.go
@@ -226,37 +226,34 @@
 // sendToHosts carries a caller's datagram through the fabric to any host. A
 // doubled one may reach two.
 func (e *Emulator) sendToHosts(deliver func(h *Host)) {
-	copies := 1
-	if e.random.Float64() < e.cfg.Double {
-		copies = 2
-	}
-	for range copies {
-		if e.random.Float64() < e.cfg.Loss {
-			continue
-		}
-		h := e.Platform.anyHost()
-		if h == nil {
-			continue
+	e.transmit(func() {
+		if h := e.Platform.anyHost(); h != nil {
+			e.After(e.cfg.CallerDelay+e.jitter(), func() { deliver(h) })
 		}
-		e.After(e.cfg.CallerDelay+e.jitter(), func() { deliver(h) })
-	}
+	})
 }
 
 // sendToCaller carries an answer back.
 func (e *Emulator) sendToCaller(a cactuspin.Answer) {
+	e.transmit(func() {
+		e.After(e.cfg.CallerDelay+e.jitter(), func() {
+			if c := e.callers[a.Caller]; c != nil {
+				c.receive(a)
+			}
+		})
+	})
+}
+
+// transmit sends a datagram once, twice or not at all.
+func (e *Emulator) transmit(send func()) {
 	copies := 1
 	if e.random.Float64() < e.cfg.Double {
 		copies = 2
 	}
 	for range copies {
-		if e.random.Float64() < e.cfg.Loss {
-			continue
+		if e.random.Float64() >= e.cfg.Loss {
+			send()
 		}
-		e.After(e.cfg.CallerDelay+e.jitter(), func() {
-			if c := e.callers[a.Caller]; c != nil {
-				c.receive(a)
-			}
-		})
 	}
 }
 
--- a/request.go
+++ b/request.go
@@ -123,3 +123,20 @@
 	Options      []Option
 	Payload      []byte
 }
+
+// Reply addresses an answer to the caller of the request. A confirmable request is
+// acknowledged by it.
+func (r *Request) Reply(code Code) Answer {
+	a := Answer{
+		Caller:    r.Caller,
+		Service:   r.Service,
+		Token:     r.Token,
+		MessageID: r.MessageID,
+		Type:      AnswerNonConfirmable,
+		Code:      code,
+	}
+	if r.Confirmable {
+		a.Type = AnswerAcknowledgement
+	}
+	return a
+}
