Steer packets on the users' platform, the whole path thin

The request path over CoAP cannot carry it: targets answer callers directly and any host may get any packet. Change: platform/ translates settings, packets, registrations and the calls of the store; the steerer places SYNs and follows cookies; keeper and planner hold knowledge by the store's revisions, read by one host a zone and told to the others in datagrams; cactuspin-entry runs it by deploy/system.toml.

--- /dev/null
+++ b/internal/entry/forwarder/forwarder.go
@@ -0,0 +1,130 @@
+// Package forwarder moves callers' packets: it reads them from the fabric, asks
+// the steerer and sends them on. Nothing on this way waits for anything else.
+package forwarder
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/server/provider"
+)
+
+// receiveBuffer is the room for packets that wait to be read, in bytes: those
+// of a second at a few thousand packets a second.
+const receiveBuffer = 2 << 20
+
+// Config configures a Forwarder.
+type Config struct {
+	provider.Common
+	// Address is where the fabric sends packets; callers listen at its port.
+	Address netip.AddrPort
+	Format  cactuspin.PacketFormat
+	Steerer cactuspin.Steerer
+	// Ready is closed when the steerer can decide. Packets wait in the socket
+	// until then.
+	Ready <-chan struct{}
+	// Observe takes each verdict that is no plain forwarding of an open flow.
+	Observe func(p *cactuspin.Packet, v *cactuspin.Verdict)
+}
+
+// Forwarder forwards packets.
+type Forwarder struct {
+	cfg       Config
+	socket    *net.UDPConn
+	done      chan error
+	last      atomic.Int64
+	malformed atomic.Uint64
+	failed    atomic.Uint64
+}
+
+// New opens the socket.
+func New(c Config) (f *Forwarder, err error) {
+	defer func() { err = errors.Wrap(err, "new forwarder") }()
+	s, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(c.Address))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if err := s.SetReadBuffer(receiveBuffer); err != nil {
+		c.Logger.Warn("packets: receive buffer not set", slog.Any("error", err))
+	}
+	return &Forwarder{cfg: c, socket: s, done: make(chan error, 1)}, nil
+}
+
+// Start forwards until the context ends, which is reported on Done.
+func (f *Forwarder) Start(ctx context.Context) {
+	context.AfterFunc(ctx, func() { _ = f.socket.Close() })
+	go func() { f.done <- f.run(ctx) }()
+}
+
+// Done reports the end.
+func (f *Forwarder) Done() <-chan error { return f.done }
+
+// Last returns when the last packet came.
+func (f *Forwarder) Last() cactuspin.Time { return cactuspin.Time(f.last.Load()) }
+
+// Malformed returns the number of packets that could not be read.
+func (f *Forwarder) Malformed() uint64 { return f.malformed.Load() }
+
+// Failed returns the number of packets that could not be sent.
+func (f *Forwarder) Failed() uint64 { return f.failed.Load() }
+
+func (f *Forwarder) run(ctx context.Context) error {
+	select {
+	case <-f.cfg.Ready:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	b := make([]byte, cactuspin.TargetPrefix+cactuspin.MaxPacket)
+	var p cactuspin.Packet
+	for {
+		n, _, err := f.socket.ReadFromUDPAddrPort(b[cactuspin.TargetPrefix:])
+		if err != nil {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			f.cfg.Logger.Warn("packets: read failed", slog.Any("error", err))
+			continue
+		}
+		f.handle(b[:cactuspin.TargetPrefix+n], &p)
+	}
+}
+
+// handle steers the packet behind the first TargetPrefix bytes of b.
+func (f *Forwarder) handle(b []byte, p *cactuspin.Packet) {
+	packet := b[cactuspin.TargetPrefix:]
+	if err := f.cfg.Format.Parse(packet, p); err != nil {
+		if f.malformed.Add(1) == 1 {
+			f.cfg.Logger.Warn("packets: malformed packet", slog.Int("bytes", len(packet)))
+		}
+		return
+	}
+	now := f.cfg.Clock()
+	f.last.Store(int64(now))
+	v := f.cfg.Steerer.Steer(now, p)
+	var err error
+	switch v.Kind {
+	case cactuspin.VerdictForward:
+		if v.Cookie != 0 {
+			f.cfg.Format.PutCookie(packet, v.Cookie)
+		}
+		f.cfg.Format.PutTarget(b, v.Number)
+		_, err = f.socket.WriteToUDPAddrPort(b, v.Address)
+	case cactuspin.VerdictReset:
+		var reset [cactuspin.MaxPacket]byte
+		to := netip.AddrPortFrom(p.Caller.Addr(), f.cfg.Address.Port())
+		_, err = f.socket.WriteToUDPAddrPort(f.cfg.Format.AppendReset(reset[:0], p), to)
+	case cactuspin.VerdictDrop:
+	}
+	if err != nil {
+		f.failed.Add(1)
+	}
+	if v.Reason != cactuspin.ReasonEstablished {
+		f.cfg.Observe(p, &v)
+	}
+}
--- /dev/null
+++ b/internal/entry/responder/responder.go
@@ -0,0 +1,71 @@
+// Package responder serves HTTP at several addresses, each with its handler.
+package responder
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cactuspin/cactuspin/internal/server/provider"
+)
+
+// headerTimeout bounds how long a client may take to send a request's header.
+const headerTimeout = 2 * time.Second
+
+// Config configures a Responder.
+type Config struct {
+	provider.Common
+	Handlers map[netip.AddrPort]http.Handler
+}
+
+// Responder serves handlers.
+type Responder struct {
+	servers   []*http.Server
+	listeners []net.Listener
+	done      chan error
+}
+
+// New opens the sockets.
+func New(c Config) (r *Responder, err error) {
+	defer func() { err = errors.Wrap(err, "new responder") }()
+	r = &Responder{done: make(chan error, 1)}
+	for a, h := range c.Handlers {
+		l, err := net.Listen("tcp4", a.String())
+		if err != nil {
+			return nil, errors.CombineErrors(errors.WithStack(err), r.close())
+		}
+		r.listeners = append(r.listeners, l)
+		r.servers = append(r.servers, &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, ErrorLog: slog.NewLogLogger(c.Logger.Handler(), slog.LevelDebug)})
+	}
+	return r, nil
+}
+
+// Start serves until the context ends, which is reported on Done.
+func (r *Responder) Start(ctx context.Context) {
+	var g errgroup.Group
+	for i := range r.servers {
+		g.Go(func() error { return r.servers[i].Serve(r.listeners[i]) })
+	}
+	context.AfterFunc(ctx, func() {
+		for _, s := range r.servers {
+			_ = s.Close()
+		}
+	})
+	go func() { r.done <- g.Wait() }()
+}
+
+// Done reports the end.
+func (r *Responder) Done() <-chan error { return r.done }
+
+func (r *Responder) close() (err error) {
+	for _, l := range r.listeners {
+		err = errors.CombineErrors(err, l.Close())
+	}
+	return err
+}
--- /dev/null
+++ b/internal/knowledge/keeper/keeper.go
@@ -0,0 +1,251 @@
+// Package keeper holds what a host knows of the platform's store: routes,
+// targets and how fresh that is. Knowledge is ordered by the store's revisions,
+// so that it can come from the store and from other hosts in any order and
+// never goes back.
+package keeper
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/cactuspin/cactuspin"
+)
+
+const (
+	// lapseHold is how long a registration that ended around a fault of the store
+	// still counts: the platform brings those of living targets back within two
+	// seconds of the store's return.
+	lapseHold = 2500 * time.Millisecond
+	// maxGone bounds the ended registrations that are remembered for hosts that
+	// are behind; a host further behind gets a full update.
+	maxGone = 4096
+	// unknownAge is the age of knowledge that a host does not have.
+	unknownAge = time.Hour
+)
+
+// Change is what an update changed.
+type Change struct {
+	// Routing is the new routing, if there is one.
+	Routing *cactuspin.Routing
+	Targets []cactuspin.RegisteredTarget
+	Gone    []Gone
+}
+
+// Empty tells whether nothing changed.
+func (c *Change) Empty() bool { return c.Routing == nil && len(c.Targets) == 0 && len(c.Gone) == 0 }
+
+// Gone is a registration that ended.
+type Gone struct {
+	cactuspin.GoneTarget
+	// Hold is how long the target may still be alive without a registration.
+	Hold time.Duration
+}
+
+// Keeper holds knowledge. It is safe for concurrent use.
+type Keeper struct {
+	mu       sync.Mutex
+	revision cactuspin.Revision
+	// changed is the revision of the last change that is known.
+	changed cactuspin.Revision
+	// confirmed is when revision was known to be the newest.
+	confirmed cactuspin.Time
+	// settled is since when the store has answered without a fault.
+	settled cactuspin.Time
+	routing *cactuspin.Routing
+	targets map[cactuspin.TargetID]cactuspin.RegisteredTarget
+	gone    map[cactuspin.TargetID]cactuspin.Revision
+	// horizon is the revision from which on all ended registrations are remembered.
+	horizon cactuspin.Revision
+	loaded  bool
+}
+
+// New returns a keeper that knows nothing.
+func New() *Keeper {
+	return &Keeper{
+		targets: map[cactuspin.TargetID]cactuspin.RegisteredTarget{},
+		gone:    map[cactuspin.TargetID]cactuspin.Revision{},
+	}
+}
+
+// Position is how far and how fresh a host's knowledge is.
+type Position struct {
+	Revision cactuspin.Revision
+	Changed  cactuspin.Revision
+	Age      time.Duration
+	Settled  time.Duration
+	Version  cactuspin.RoutingVersion
+	Targets  int
+	Loaded   bool
+}
+
+// Position returns how far and how fresh the knowledge is.
+func (k *Keeper) Position(now cactuspin.Time) Position {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	p := Position{Revision: k.revision, Changed: k.changed, Age: k.age(now), Loaded: k.loaded, Targets: len(k.targets)}
+	p.Settled = max(0, now.Sub(k.settled))
+	if k.routing != nil {
+		p.Version = k.routing.Version
+	}
+	return p
+}
+
+func (k *Keeper) age(now cactuspin.Time) time.Duration {
+	if !k.loaded {
+		return unknownAge
+	}
+	return max(0, now.Sub(k.confirmed))
+}
+
+// Merge takes an update. It reports false if the update starts later than the
+// knowledge ends, so that something between is missing.
+func (k *Keeper) Merge(now cactuspin.Time, u *cactuspin.Update) (c Change, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !u.Full && (!k.loaded || u.After > k.revision) {
+		return c, false
+	}
+	k.settled = max(k.settled, now.Add(-u.Settled))
+	hold := max(0, lapseHold-now.Sub(k.settled))
+	if u.Full && u.Revision >= k.revision {
+		k.endMissing(u, hold, &c)
+	}
+	for i := range u.Targets {
+		k.mergeTarget(&u.Targets[i], &c)
+	}
+	for _, g := range u.Gone {
+		k.mergeGone(g, hold, &c)
+	}
+	if r := u.Routing; r != nil && (k.routing == nil || r.Version > k.routing.Version) {
+		k.routing, c.Routing = r, r
+		k.changed = max(k.changed, r.Revision)
+	}
+	k.confirm(now, u.Revision, u.Age)
+	k.loaded = k.loaded || (u.Full && k.routing != nil)
+	return c, true
+}
+
+// Confirm takes word that revision was the newest age ago and that the last
+// change before it was changed. It reports whether the knowledge reaches that
+// far; if not, an update is missing.
+func (k *Keeper) Confirm(now cactuspin.Time, revision, changed cactuspin.Revision, age, settled time.Duration) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.loaded || k.revision < changed {
+		return false
+	}
+	k.settled = max(k.settled, now.Add(-settled))
+	k.confirm(now, revision, age)
+	return true
+}
+
+// Fault takes word that the store did not answer this host properly.
+func (k *Keeper) Fault(now cactuspin.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.settled = now
+}
+
+func (k *Keeper) confirm(now cactuspin.Time, revision cactuspin.Revision, age time.Duration) {
+	if revision < k.revision {
+		return
+	}
+	k.revision = revision
+	k.confirmed = max(k.confirmed, now.Add(-age))
+}
+
+// endMissing ends the registrations that a full update no longer lists.
+func (k *Keeper) endMissing(u *cactuspin.Update, hold time.Duration, c *Change) {
+	listed := make(map[cactuspin.TargetID]bool, len(u.Targets))
+	for i := range u.Targets {
+		listed[u.Targets[i].ID] = true
+	}
+	var missing []cactuspin.TargetID
+	for id := range k.targets {
+		if !listed[id] {
+			missing = append(missing, id)
+		}
+	}
+	sort.Slice(missing, func(i, j int) bool { return missing[i] < missing[j] })
+	for _, id := range missing {
+		if k.targets[id].Revision <= u.Revision {
+			k.mergeGone(cactuspin.GoneTarget{ID: id, Revision: u.Revision}, hold, c)
+		}
+	}
+	if !k.loaded {
+		k.horizon = u.Revision
+	}
+}
+
+func (k *Keeper) mergeTarget(t *cactuspin.RegisteredTarget, c *Change) {
+	if old, ok := k.targets[t.ID]; ok && old.Revision >= t.Revision {
+		return
+	}
+	if k.gone[t.ID] >= t.Revision {
+		return
+	}
+	delete(k.gone, t.ID)
+	k.targets[t.ID] = *t
+	k.changed = max(k.changed, t.Revision)
+	c.Targets = append(c.Targets, *t)
+}
+
+func (k *Keeper) mergeGone(g cactuspin.GoneTarget, hold time.Duration, c *Change) {
+	old, ok := k.targets[g.ID]
+	if (ok && old.Revision >= g.Revision) || k.gone[g.ID] >= g.Revision {
+		return
+	}
+	k.remember(g)
+	k.changed = max(k.changed, g.Revision)
+	if !ok {
+		return
+	}
+	delete(k.targets, g.ID)
+	if old.State == cactuspin.TargetDraining {
+		hold = 0
+	}
+	c.Gone = append(c.Gone, Gone{GoneTarget: g, Hold: hold})
+}
+
+// remember keeps an ended registration for hosts that are behind.
+func (k *Keeper) remember(g cactuspin.GoneTarget) {
+	if len(k.gone) >= maxGone {
+		for id, r := range k.gone {
+			k.horizon = max(k.horizon, r)
+			delete(k.gone, id)
+		}
+	}
+	k.gone[g.ID] = g.Revision
+}
+
+// Since returns an update from the revision on: a partial one where all that
+// ended since is remembered, else a full one. It reports false if there is no
+// knowledge to give.
+func (k *Keeper) Since(now cactuspin.Time, after cactuspin.Revision) (u cactuspin.Update, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.loaded {
+		return u, false
+	}
+	u = cactuspin.Update{Revision: k.revision, Age: k.age(now), Settled: max(0, now.Sub(k.settled))}
+	u.Full = after == 0 || after < k.horizon
+	if u.Full {
+		after = 0
+	}
+	u.After = after
+	if k.routing.Revision > after {
+		u.Routing = k.routing
+	}
+	for _, t := range k.targets {
+		if t.Revision > after {
+			u.Targets = append(u.Targets, t)
+		}
+	}
+	for id, r := range k.gone {
+		if r > after && !u.Full {
+			u.Gone = append(u.Gone, cactuspin.GoneTarget{ID: id, Revision: r})
+		}
+	}
+	return u, true
+}
--- /dev/null
+++ b/internal/steering/steerer/flow.go
@@ -0,0 +1,174 @@
+package steerer
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cactuspin/cactuspin"
+)
+
+// flowShards is the number of parts of the flow table, each with its own lock.
+const flowShards = 16
+
+// flowKey is the four-tuple of a flow.
+type flowKey struct {
+	caller, service netip.AddrPort
+}
+
+// flow is what a host remembers of a flow.
+type flow struct {
+	target *target
+	seen   cactuspin.Time
+	// requested is when the request in progress was sent, or 0.
+	requested cactuspin.Time
+	// sent is the sequence number after the last data, acknowledged what the
+	// caller has received.
+	sent, acknowledged uint32
+	opened             bool
+}
+
+// flowTable holds the remembered flows.
+type flowTable struct {
+	shards [flowShards]flowShard
+	// next is the shard that is swept next.
+	next int
+}
+
+// flowShard is a part of the flow table; mu guards it and its flows.
+type flowShard struct {
+	mu     sync.Mutex
+	flows  map[flowKey]*flow
+	random *rand.Rand
+	limit  int
+}
+
+func (x *flowTable) init(limit int, seed uint64) {
+	for i := range x.shards {
+		h := &x.shards[i]
+		h.flows = map[flowKey]*flow{}
+		h.random = rand.New(rand.NewPCG(seed, uint64(i)))
+		h.limit = max(1, limit/flowShards)
+	}
+}
+
+func (x *flowTable) shard(p *cactuspin.Packet) *flowShard {
+	a := p.Caller.Addr().As4()
+	return &x.shards[(uint(a[3])^uint(p.Caller.Port()))%flowShards]
+}
+
+func keyOf(p *cactuspin.Packet) flowKey { return flowKey{p.Caller, p.Service} }
+
+// open remembers that the first packet of a flow goes to t.
+func (h *flowShard) open(now cactuspin.Time, p *cactuspin.Packet, t *target) {
+	f := h.flows[keyOf(p)]
+	if f == nil {
+		f = &flow{}
+		h.add(p, f)
+	}
+	f.join(t)
+	f.seen, f.opened, f.sent = now, false, p.Sequence+1
+}
+
+// touch returns the flow of a packet that goes to t.
+func (h *flowShard) touch(now cactuspin.Time, p *cactuspin.Packet, t *target) *flow {
+	f := h.flows[keyOf(p)]
+	if f == nil {
+		f = &flow{sent: p.Sequence, acknowledged: p.Acknowledgement, opened: true}
+		h.add(p, f)
+	}
+	f.join(t)
+	f.seen = now
+	if p.Flags&(cactuspin.FlagRST|cactuspin.FlagFIN) != 0 {
+		delete(h.flows, keyOf(p))
+	}
+	return f
+}
+
+// add takes a flow in. A full shard first lets go of any other flow: it loses
+// only its share in the counts.
+func (h *flowShard) add(p *cactuspin.Packet, f *flow) {
+	if len(h.flows) >= h.limit {
+		for k, old := range h.flows {
+			old.leave()
+			delete(h.flows, k)
+			break
+		}
+	}
+	h.flows[keyOf(p)] = f
+}
+
+// sweep forgets the idle flows of one shard.
+func (x *flowTable) sweep(now cactuspin.Time, idle time.Duration) {
+	h := &x.shards[x.next]
+	x.next = (x.next + 1) % flowShards
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for k, f := range h.flows {
+		if now.Sub(f.seen) > idle {
+			f.leave()
+			delete(h.flows, k)
+		}
+	}
+}
+
+// observe learns from a packet that the caller sent on the flow.
+func (f *flow) observe(now cactuspin.Time, p *cactuspin.Packet) {
+	if !f.opened {
+		f.opened, f.acknowledged = true, p.Acknowledgement
+		f.target.live(now)
+	}
+	if int32(p.Acknowledgement-f.acknowledged) > 0 {
+		f.acknowledged = p.Acknowledgement
+		f.target.live(now)
+		f.finish()
+	}
+	f.observeData(now, p)
+	if p.Flags&(cactuspin.FlagRST|cactuspin.FlagFIN) != 0 {
+		f.leave()
+	}
+}
+
+func (f *flow) observeData(now cactuspin.Time, p *cactuspin.Packet) {
+	if p.Length == 0 {
+		return
+	}
+	end := p.Sequence + uint32(p.Length)
+	if int32(end-f.sent) <= 0 {
+		f.target.miss(now, f.requested)
+		return
+	}
+	f.sent = end
+	if f.requested == 0 {
+		f.requested = now
+		f.target.busy.Add(1)
+	}
+}
+
+// finish takes the end of the request in progress.
+func (f *flow) finish() {
+	if f.requested != 0 {
+		f.requested = 0
+		f.target.busy.Add(-1)
+	}
+}
+
+// join counts the flow at t.
+func (f *flow) join(t *target) {
+	if f.target != t {
+		f.leave()
+		f.target = t
+		t.flows.Add(1)
+	}
+}
+
+// leave takes the flow out of its target's counts.
+func (f *flow) leave() {
+	if f.target == nil {
+		return
+	}
+	f.finish()
+	f.target.flows.Add(-1)
+	f.target = nil
+}
--- /dev/null
+++ b/internal/steering/steerer/steerer.go
@@ -0,0 +1,307 @@
+// Package steerer decides about callers' packets. Packets of open flows follow
+// the cookie that they carry, so that any host finds the target; only the first
+// packet of a flow is placed. What is remembered of flows serves balance and
+// the detection of dead targets, and can be lost without harm to a flow.
+package steerer
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/knowledge/encoder"
+	"github.com/cactuspin/cactuspin/internal/knowledge/keeper"
+)
+
+const (
+	// goneMemory is how long an ended target is remembered by its cookie, so that
+	// its flows are reset with a reason; the platform bounds a flow's age to it.
+	goneMemory = 60 * time.Second
+	// settleTime is how long after a fault of the store an unknown cookie may
+	// belong to a target that is about to register again.
+	settleTime = 3 * time.Second
+)
+
+// Config configures a steerer.
+type Config struct {
+	Zone cactuspin.ZoneID
+	Seed uint64
+	// StaleAfter is the age of knowledge from which nothing is refused because of it.
+	StaleAfter time.Duration
+	// MaxFlows bounds the remembered flows.
+	MaxFlows int
+}
+
+// Steerer implements cactuspin.Steerer.
+type Steerer struct {
+	c      Config
+	routes atomic.Pointer[routeTable]
+	// mu guards the services and their targets; a flow shard's lock is taken first.
+	mu       sync.RWMutex
+	services map[cactuspin.ServiceName]*service
+	targets  map[cactuspin.TargetID]*target
+	gone     []*target
+	flows    flowTable
+	// confirmed and settled are moments of the knowledge that is in use.
+	confirmed atomic.Int64
+	settled   atomic.Int64
+	counters  [verdictReasons]atomic.Uint64
+}
+
+// verdictReasons is the number of reasons that a verdict can have.
+const verdictReasons = int(cactuspin.ReasonForged) + 1
+
+// routeTable is one version of the routes, by address.
+type routeTable struct {
+	version cactuspin.RoutingVersion
+	idle    time.Duration
+	routes  map[netip.AddrPort]*cactuspin.Route
+}
+
+// New returns a steerer without knowledge; it drops everything.
+func New(c Config) *Steerer {
+	s := &Steerer{
+		c:        c,
+		services: map[cactuspin.ServiceName]*service{},
+		targets:  map[cactuspin.TargetID]*target{},
+	}
+	s.flows.init(c.MaxFlows, c.Seed)
+	return s
+}
+
+// Refresh takes how fresh the knowledge is.
+func (s *Steerer) Refresh(now cactuspin.Time, p keeper.Position) {
+	s.confirmed.Store(int64(now.Add(-p.Age)))
+	s.settled.Store(int64(now.Add(-p.Settled)))
+}
+
+// Apply takes a change of the knowledge.
+func (s *Steerer) Apply(now cactuspin.Time, c *keeper.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range c.Targets {
+		s.setTarget(now, &c.Targets[i])
+	}
+	for _, g := range c.Gone {
+		if t := s.targets[g.ID]; t != nil {
+			t.end(now, g.Hold)
+			s.gone = append(s.gone, t)
+			delete(s.targets, g.ID)
+		}
+	}
+	if c.Routing != nil {
+		s.setRouting(c.Routing)
+	}
+}
+
+func (s *Steerer) setRouting(r *cactuspin.Routing) {
+	t := &routeTable{version: r.Version, idle: r.IdleTimeout, routes: make(map[netip.AddrPort]*cactuspin.Route, len(r.Routes))}
+	for i := range r.Routes {
+		t.routes[r.Routes[i].Address] = &r.Routes[i]
+	}
+	s.routes.Store(t)
+}
+
+func (s *Steerer) setTarget(now cactuspin.Time, r *cactuspin.RegisteredTarget) {
+	t := s.targets[r.ID]
+	if t != nil && t.registered.Service == r.Service {
+		t.update(now, r)
+		return
+	}
+	if t != nil {
+		t.end(now, 0)
+	}
+	v := s.services[r.Service]
+	if v == nil {
+		v = &service{name: r.Service, byCookie: map[cactuspin.Cookie]*target{}}
+		s.services[r.Service] = v
+	}
+	t = newTarget(now, r, v)
+	if old := v.byCookie[t.cookie]; old != nil {
+		old.remove()
+	}
+	v.byCookie[t.cookie] = t
+	v.targets = append(v.targets, t)
+	s.targets[r.ID] = t
+}
+
+// Tick forgets flows and targets that ended long ago.
+func (s *Steerer) Tick(now cactuspin.Time) {
+	idle := goneMemory
+	if r := s.routes.Load(); r != nil && r.idle > 0 {
+		idle = r.idle
+	}
+	s.flows.sweep(now, idle)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.gone) > 0 && now.Sub(s.gone[0].goneAt) > goneMemory {
+		t := s.gone[0]
+		s.gone = s.gone[1:]
+		t.remove()
+	}
+}
+
+// Steer returns the verdict about a packet.
+func (s *Steerer) Steer(now cactuspin.Time, p *cactuspin.Packet) (v cactuspin.Verdict) {
+	h := s.flows.shard(p)
+	h.mu.Lock()
+	v = s.steer(now, p, h)
+	h.mu.Unlock()
+	v.Age = now.Sub(cactuspin.Time(s.confirmed.Load()))
+	s.counters[v.Reason].Add(1)
+	return v
+}
+
+func (s *Steerer) steer(now cactuspin.Time, p *cactuspin.Packet, h *flowShard) cactuspin.Verdict {
+	table := s.routes.Load()
+	if table == nil {
+		return cactuspin.Verdict{Reason: cactuspin.ReasonNotReady}
+	}
+	v := cactuspin.Verdict{Version: table.version}
+	route := table.routes[p.Service]
+	if route == nil {
+		return s.refuse(now, p, v, cactuspin.ReasonNoRoute)
+	}
+	v.Route = route.Name
+	if p.Flags&cactuspin.FlagSYN != 0 {
+		if p.Flags != cactuspin.FlagSYN {
+			v.Reason = cactuspin.ReasonForged
+			return v
+		}
+		return s.open(now, p, h, route, v)
+	}
+	return s.follow(now, p, h, route, v)
+}
+
+// refuse resets the caller's flow, or drops the packet where knowledge is too
+// old to be sure.
+func (s *Steerer) refuse(now cactuspin.Time, p *cactuspin.Packet, v cactuspin.Verdict, why cactuspin.VerdictReason) cactuspin.Verdict {
+	v.Kind, v.Reason = cactuspin.VerdictReset, why
+	stale := now.Sub(cactuspin.Time(s.confirmed.Load())) > s.c.StaleAfter
+	if stale || p.Flags&cactuspin.FlagRST != 0 {
+		v.Kind = cactuspin.VerdictDrop
+	}
+	return v
+}
+
+// follow leads a packet of an open flow to the target that its cookie names.
+func (s *Steerer) follow(now cactuspin.Time, p *cactuspin.Packet, h *flowShard, route *cactuspin.Route, v cactuspin.Verdict) cactuspin.Verdict {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	t := s.find(route, p.Cookie)
+	if t == nil {
+		if now.Sub(cactuspin.Time(s.settled.Load())) < settleTime {
+			v.Reason = cactuspin.ReasonUnknownCookie
+			return v
+		}
+		return s.refuse(now, p, v, cactuspin.ReasonUnknownCookie)
+	}
+	f := h.touch(now, p, t)
+	f.observe(now, p)
+	if t.ended(now) {
+		f.leave()
+		return s.refuse(now, p, v, cactuspin.ReasonTargetGone)
+	}
+	v.Kind, v.Reason = cactuspin.VerdictForward, cactuspin.ReasonEstablished
+	t.fill(&v)
+	return v
+}
+
+// find returns the target of a cookie among the services of a route.
+func (s *Steerer) find(route *cactuspin.Route, c cactuspin.Cookie) *target {
+	if c == 0 {
+		return nil
+	}
+	for i := range route.Services {
+		if v := s.services[route.Services[i].Service]; v != nil {
+			if t := v.byCookie[c]; t != nil {
+				return t
+			}
+		}
+	}
+	return nil
+}
+
+// open places the first packet of a flow, or a copy of it.
+func (s *Steerer) open(now cactuspin.Time, p *cactuspin.Packet, h *flowShard, route *cactuspin.Route, v cactuspin.Verdict) cactuspin.Verdict {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	f := h.flows[keyOf(p)]
+	v.Reason = cactuspin.ReasonPlaced
+	var t *target
+	if f != nil && f.target != nil {
+		t, v.Reason = s.placeCopy(now, h, f, route)
+	} else {
+		t = s.place(now, h, route, nil)
+	}
+	if t == nil {
+		return s.refuse(now, p, v, cactuspin.ReasonNoTarget)
+	}
+	h.open(now, p, t)
+	v.Kind, v.Cookie = cactuspin.VerdictForward, t.cookie
+	t.fill(&v)
+	return v
+}
+
+// placeCopy decides where the copy of a first packet goes. The caller has not
+// had an answer: the target is tried again while it shows life, since two
+// targets that both answer can confuse the flow.
+func (s *Steerer) placeCopy(now cactuspin.Time, h *flowShard, f *flow, route *cactuspin.Route) (*target, cactuspin.VerdictReason) {
+	t := f.target
+	if !t.usable(now) {
+		return s.place(now, h, route, nil), cactuspin.ReasonCopyOther
+	}
+	t.miss(now, f.seen)
+	if t.suspect(now) {
+		if other := s.place(now, h, route, t); other != nil {
+			return other, cactuspin.ReasonCopyOther
+		}
+	}
+	return t, cactuspin.ReasonCopySame
+}
+
+// place chooses a target for a new flow of a route.
+func (s *Steerer) place(now cactuspin.Time, h *flowShard, route *cactuspin.Route, not *target) *target {
+	v := s.service(h, route)
+	if v == nil {
+		return nil
+	}
+	return v.choose(now, s.c.Zone, not, h.random)
+}
+
+// service chooses the service of a new flow by the weights of the route.
+func (s *Steerer) service(h *flowShard, route *cactuspin.Route) *service {
+	if len(route.Services) == 1 {
+		return s.services[route.Services[0].Service]
+	}
+	var total uint32
+	for _, w := range route.Services {
+		total += w.Weight
+	}
+	if total == 0 {
+		return nil
+	}
+	n := h.random.Uint32N(total)
+	for _, w := range route.Services {
+		if n < w.Weight {
+			return s.services[w.Service]
+		}
+		n -= w.Weight
+	}
+	return nil
+}
+
+// Loads returns what this host has in progress at each target that has any.
+func (s *Steerer) Loads() (loads []encoder.TargetLoad) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for _, t := range s.targets {
+		flows, busy := t.flows.Load(), t.busy.Load()
+		if flows > 0 {
+			loads = append(loads, encoder.TargetLoad{Cookie: t.cookie, Flows: uint16(flows), Busy: uint16(max(0, busy))})
+		}
+	}
+	return loads
+}
