Keep flows in their zone, read the store once for all zones, probe silent targets

Change: a new flow goes to its zone while less than 0.8 of its slots are in use; one zone leader reads for all; silent targets are probed by a TCP connection and idempotent work at a dead one is reset.

--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -22,6 +22,7 @@
 	"github.com/cactuspin/cactuspin/internal/entry/forwarder"
 	"github.com/cactuspin/cactuspin/internal/entry/gossiper"
 	"github.com/cactuspin/cactuspin/internal/entry/learner"
+	"github.com/cactuspin/cactuspin/internal/entry/prober"
 	"github.com/cactuspin/cactuspin/internal/entry/responder"
 	"github.com/cactuspin/cactuspin/internal/entry/updater"
 	"github.com/cactuspin/cactuspin/internal/knowledge/keeper"
@@ -35,6 +36,12 @@
 var Build = "dev"
 
 const (
+	// freshnessShare is the part of the bounds on knowledge, in percent, that its
+	// age may reach before a host reads for itself; the rest is for the reading.
+	freshnessShare = 45
+	// waitShare is the part of those bounds, in percent, that a watch may wait. It
+	// and a beacon's interval stay below freshnessShare.
+	waitShare = 22
 	// stopMargin is how long before the kill a stopping host has ended.
 	stopMargin = time.Second
 	// noticeTime is how long the fabric takes to notice that a host is not ready:
@@ -68,7 +75,7 @@
 		return complain(stderr, err)
 	}
 	logger := slog.New(slog.NewTextHandler(stdout, &slog.HandlerOptions{Level: l}))
-	if err := run(s, logger); err != nil {
+	if err := run(*settings, s, logger); err != nil {
 		logger.Error("host: failed", slog.Any("error", err))
 		return 1
 	}
@@ -94,10 +101,12 @@
 	gossiper *gossiper.Gossiper
 	forward  *forwarder.Forwarder
 	respond  *responder.Responder
+	prober   *prober.Prober
+	ctx      context.Context
 	leaving  atomic.Bool
 }
 
-func run(s platform.Settings, logger *slog.Logger) (err error) {
+func run(path string, s platform.Settings, logger *slog.Logger) (err error) {
 	defer func() { err = errors.Wrap(err, "entry host") }()
 	h, err := newHost(s, logger)
 	if err != nil {
@@ -109,6 +118,9 @@
 	defer cancel()
 	h.start(ctx)
 	logger.Info("host: started", slog.String("host", s.Name), slog.String("zone", string(s.Zone)), slog.String("packets", s.Packets.String()), slog.String("build", Build))
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go h.reload(ctx, path, reload)
 	select {
 	case <-stop:
 	case err := <-h.forward.Done():
@@ -129,20 +141,22 @@
 	h = &host{settings: s, pauses: provider.NewPauseClock(), keeper: keeper.New()}
 	h.common = provider.Common{Logger: logger, Clock: h.pauses.Now}
 	self := cactuspin.EntryHost{Address: s.IP, Zone: s.Zone}
-	freshness := min(s.ApplyWithin, s.DrainWithin) / 3
+	bound := min(s.ApplyWithin, s.DrainWithin)
+	freshness := bound * freshnessShare / 100
 	h.planner = planner.New(planner.Config{Self: self, Incarnation: incarnation, Seeds: s.Seeds, Freshness: freshness, Seed: random})
 	h.steerer = steerer.New(steerer.Config{Zone: s.Zone, Seed: random, StaleAfter: freshness, MaxFlows: 1 << 17})
 	h.updater = updater.New(updater.Config{Common: h.common, Keeper: h.keeper, Planner: h.planner, Steerer: h.steerer})
+	h.prober = prober.New(prober.Config{Common: h.common, Steerer: h.steerer})
 	h.learner = learner.New(learner.Config{
 		Common: h.common, Store: platform.NewStore(s.Store, logger), Keeper: h.keeper, Updater: h.updater,
-		Self: self, Wait: freshness, Seed: random,
+		Self: self, Wait: bound * waitShare / 100, Seed: random,
 		Spread: func(u *cactuspin.Update) { h.gossiper.Spread(u) },
 	})
 	h.gossiper, err = gossiper.New(gossiper.Config{
 		Common: h.common, Pauses: h.pauses, Self: self, Incarnation: incarnation,
 		PeerPort: s.PeerPort, KnowledgePort: s.KnowledgePort,
 		Keeper: h.keeper, Planner: h.planner, Updater: h.updater,
-		Want: h.learner.Want, Loads: h.steerer.Loads, Tick: h.tick,
+		Want: h.learner.Want, Loads: h.steerer.Loads, ShareLoads: h.steerer.ShareLoads, Tick: h.tick,
 	})
 	if err != nil {
 		return nil, err
@@ -168,6 +182,7 @@
 }
 
 func (h *host) start(ctx context.Context) {
+	h.ctx = ctx
 	h.learner.Start(ctx)
 	h.gossiper.Start(ctx)
 	h.forward.Start(ctx)
@@ -187,6 +202,23 @@
 	}
 }
 
+// reload checks the settings file when a signal says that it has changed. What
+// a host is and where it listens stays as it was at the start.
+func (h *host) reload(ctx context.Context, path string, changed <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+		if _, err := platform.LoadSettings(path); err != nil {
+			h.common.Logger.Error("host: settings not reloaded", slog.Any("error", err))
+			continue
+		}
+		h.common.Logger.Info("host: settings reloaded")
+	}
+}
+
 // ready tells the fabric whether this host takes packets.
 func (h *host) ready() bool {
 	select {
@@ -200,6 +232,7 @@
 func (h *host) tick(now cactuspin.Time) {
 	h.steerer.Refresh(now, h.keeper.Position(now))
 	h.steerer.Tick(now)
+	h.prober.Start(h.ctx, now)
 }
 
 func (h *host) observe(p *cactuspin.Packet, v *cactuspin.Verdict) {
--- a/internal/entry/gossiper/gossiper.go
+++ b/internal/entry/gossiper/gossiper.go
@@ -55,7 +55,9 @@
 	// Want takes whether this host is to read the store.
 	Want func(read bool)
 	// Loads returns what this host has in progress.
-	Loads func() []encoder.TargetLoad
+	Loads func() encoder.Loads
+	// ShareLoads takes what other hosts have in progress.
+	ShareLoads func(others encoder.Loads)
 	// Tick is called with each tick.
 	Tick func(now cactuspin.Time)
 }
@@ -136,16 +138,24 @@
 		g.reading = plan.Read
 		g.cfg.Want(plan.Read && !g.leaving.Load())
 	}
-	if len(plan.Tell) == 0 {
+	if len(plan.Tell)+len(plan.Leaders) == 0 {
 		return
 	}
-	g.tell(now, plan.Tell, !g.cfg.Keeper.Position(now).Loaded)
+	own := g.cfg.Loads()
+	zone, total, others := g.cfg.Planner.Loads(now, own)
+	g.cfg.ShareLoads(others)
+	b := g.beacon(now)
+	b.Answer = !b.Loaded
+	b.Loads, b.Total = own, total
+	g.send(plan.Tell, &encoder.Datagram{Beacon: b})
+	b.Loads, b.Total = zone, nil
+	g.send(plan.Leaders, &encoder.Datagram{Beacon: b})
 }
 
-// tell sends a beacon to hosts.
-func (g *Gossiper) tell(now cactuspin.Time, hosts []netip.Addr, answer bool) {
+// beacon returns a beacon without loads.
+func (g *Gossiper) beacon(now cactuspin.Time) *encoder.Beacon {
 	p := g.cfg.Keeper.Position(now)
-	g.send(hosts, &encoder.Datagram{Beacon: &encoder.Beacon{
+	return &encoder.Beacon{
 		Host:        g.cfg.Self,
 		Incarnation: g.cfg.Incarnation,
 		Revision:    p.Revision,
@@ -154,20 +164,18 @@
 		Settled:     p.Settled,
 		Loaded:      p.Loaded,
 		Leaving:     g.leaving.Load(),
-		Answer:      answer,
-		Loads:       g.cfg.Loads(),
-	}})
+	}
 }
 
-// Spread pushes news to the peers of this zone if it fits into a datagram;
-// otherwise they learn from the next beacon that they are behind.
+// Spread pushes news to peers if it fits into a datagram; otherwise they learn
+// from the next beacon that they are behind.
 func (g *Gossiper) Spread(u *cactuspin.Update) {
 	small := *u
 	small.Hosts = nil
 	if small.Full {
 		return
 	}
-	g.send(g.cfg.Planner.Zone(g.cfg.Clock()), &encoder.Datagram{Update: &small})
+	g.send(g.cfg.Planner.Audience(g.cfg.Clock()), &encoder.Datagram{Update: &small})
 }
 
 func (g *Gossiper) send(hosts []netip.Addr, d *encoder.Datagram) {
@@ -219,7 +227,7 @@
 	now := g.cfg.Clock()
 	g.cfg.Planner.Hear(now, b)
 	if b.Answer && g.cfg.Keeper.Position(now).Loaded {
-		g.tell(now, []netip.Addr{b.Host.Address}, false)
+		g.send([]netip.Addr{b.Host.Address}, &encoder.Datagram{Beacon: g.beacon(now)})
 	}
 	if !b.Loaded || now < cactuspin.Time(g.trustAt.Load()) {
 		return
@@ -233,9 +241,13 @@
 	if now := g.cfg.Clock(); now < cactuspin.Time(g.trustAt.Load()) {
 		return
 	}
-	if _, ok := g.cfg.Updater.Update(u, from.String()); !ok {
+	changed, ok := g.cfg.Updater.Update(u, from.String())
+	if !ok {
 		g.fetchFrom(ctx, from)
 	}
+	if changed {
+		g.Spread(u)
+	}
 }
 
 // fetchFrom fetches what is missing in the background, one fetch at a time.
@@ -279,7 +291,9 @@
 		return err
 	}
 	x.Age += g.cfg.Clock().Sub(asked)
-	g.cfg.Updater.Update(&x, host.String())
+	if changed, _ := g.cfg.Updater.Update(&x, host.String()); changed {
+		g.Spread(&x)
+	}
 	return nil
 }
 
--- a/internal/entry/learner/learner.go
+++ b/internal/entry/learner/learner.go
@@ -21,6 +21,9 @@
 	// firstRetry and maxRetry bound the pause after a failed call, which doubles.
 	firstRetry = 50 * time.Millisecond
 	maxRetry   = 800 * time.Millisecond
+	// batchTime is the pause after news, so that changes which come in quick
+	// succession take one call.
+	batchTime = 100 * time.Millisecond
 	// leaseTime is how long an announcement outlives its host: long, since it only
 	// tells starting hosts where others may be.
 	leaseTime = 10 * time.Minute
@@ -133,7 +136,7 @@
 		u.Age = max(0, u.Age-l.cfg.Wait)
 	}
 	u.Settled = l.settled(now)
-	l.take(&u)
+	l.take(ctx, &u)
 	return nil
 }
 
@@ -148,7 +151,7 @@
 	now := l.cfg.Clock()
 	u.Age = now.Sub(asked)
 	u.Settled = l.settled(now)
-	l.take(&u)
+	l.take(ctx, &u)
 	return nil
 }
 
@@ -161,9 +164,10 @@
 	return l.cfg.Keeper.Position(now).Settled
 }
 
-func (l *Learner) take(u *cactuspin.Update) {
+func (l *Learner) take(ctx context.Context, u *cactuspin.Update) {
 	if changed, ok := l.cfg.Updater.Update(u, "store"); ok && changed {
 		l.cfg.Spread(u)
+		l.sleep(ctx, batchTime)
 	}
 }
 
--- a/internal/knowledge/encoder/encoder.go
+++ b/internal/knowledge/encoder/encoder.go
@@ -4,23 +4,61 @@
 package encoder
 
 import (
+	"encoding/binary"
+	"time"
+
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/cactuspin/cactuspin"
-	"time"
 )
 
 // MaxDatagram is the longest datagram between hosts in bytes; it fits into one
 // Ethernet frame.
 const MaxDatagram = 1400
 
-// TargetLoad is what a host or a zone has in progress at a target.
+// BusyScale is the unit of TargetLoad.Busy: sixteenths of a request.
+const BusyScale = 16
+
+// TargetLoad is what hosts have in progress at a target.
 type TargetLoad struct {
-	Cookie cactuspin.Cookie `cbor:"1,keyasint"`
-	// Busy is the requests in progress, Flows the open flows.
-	Busy  uint16 `cbor:"2,keyasint,omitempty"`
-	Flows uint16 `cbor:"3,keyasint,omitempty"`
+	Cookie cactuspin.Cookie
+	// Busy is the mean of the requests in progress, in units of 1/BusyScale.
+	Busy uint16
+	// Flows is the number of open flows.
+	Flows uint16
+}
+
+// Loads are the loads of targets. On the wire they are eight bytes each.
+type Loads []TargetLoad
+
+const loadLength = 8
+
+// MarshalBinary returns the form on the wire.
+func (l Loads) MarshalBinary() ([]byte, error) {
+	b := make([]byte, 0, loadLength*len(l))
+	for _, x := range l {
+		b = binary.BigEndian.AppendUint32(b, uint32(x.Cookie))
+		b = binary.BigEndian.AppendUint16(b, x.Busy)
+		b = binary.BigEndian.AppendUint16(b, x.Flows)
+	}
+	return b, nil
+}
+
+// UnmarshalBinary reads the form on the wire.
+func (l *Loads) UnmarshalBinary(b []byte) error {
+	if len(b)%loadLength != 0 {
+		return errors.New("loads are cut short")
+	}
+	*l = make(Loads, 0, len(b)/loadLength)
+	for ; len(b) > 0; b = b[loadLength:] {
+		*l = append(*l, TargetLoad{
+			Cookie: cactuspin.Cookie(binary.BigEndian.Uint32(b)),
+			Busy:   binary.BigEndian.Uint16(b[4:]),
+			Flows:  binary.BigEndian.Uint16(b[6:]),
+		})
+	}
+	return nil
 }
 
 // Beacon tells peers that a host lives and what it knows.
@@ -35,10 +73,11 @@
 	// Leaving says that the host is about to stop.
 	Leaving bool `cbor:"8,keyasint,omitempty"`
 	// Answer asks the receiver for a beacon at once.
-	Answer bool         `cbor:"9,keyasint,omitempty"`
-	Loads  []TargetLoad `cbor:"10,keyasint,omitempty"`
-	// Down are targets that do not answer.
-	Down []cactuspin.TargetID `cbor:"11,keyasint,omitempty"`
+	Answer bool `cbor:"9,keyasint,omitempty"`
+	// Loads is what the host has in progress; to another zone, what its zone has.
+	Loads Loads `cbor:"10,keyasint,omitempty"`
+	// Total is what all hosts have in progress, as the leader of the zone knows it.
+	Total Loads `cbor:"11,keyasint,omitempty"`
 }
 
 // Datagram is a datagram between hosts; one field is set.
--- a/internal/knowledge/planner/planner.go
+++ b/internal/knowledge/planner/planner.go
@@ -1,6 +1,8 @@
-// Package planner decides which hosts read the platform's store, who tells whom
-// and where missing knowledge is fetched. Nothing has to be agreed: two hosts
-// that both read cost calls, and a host that hears nothing reads for itself.
+// Package planner decides which host reads the platform's store, who tells whom
+// and where missing knowledge is fetched. The first living host of a zone leads
+// it and speaks with the leaders of the other zones; the first leader that has
+// fresh knowledge reads. Nothing has to be agreed: two hosts that both read cost
+// calls, and a host that hears nothing reads for itself.
 package planner
 
 import (
@@ -47,8 +49,9 @@
 
 // Plan is what a host is to do now.
 type Plan struct {
-	// Tell lists the hosts that get a beacon.
-	Tell []netip.Addr
+	// Tell lists the hosts of this zone that get a beacon, Leaders the hosts of
+	// other zones that do.
+	Tell, Leaders []netip.Addr
 	// Read says that this host is to watch the store.
 	Read bool
 	// Leader says that this host speaks for its zone.
@@ -61,7 +64,9 @@
 	heard       cactuspin.Time
 	fetched     cactuspin.Time
 	leaving     bool
-	loads       []encoder.TargetLoad
+	// age is how old the host's knowledge was when it was heard.
+	age          time.Duration
+	loads, total encoder.Loads
 }
 
 // Planner decides from beacons and time. It is safe for concurrent use.
@@ -104,7 +109,7 @@
 		p.peers[b.Host.Address] = x
 	}
 	x.EntryHost, x.incarnation, x.heard, x.leaving = b.Host, b.Incarnation, now, b.Leaving
-	x.loads = b.Loads
+	x.age, x.loads, x.total = b.Age, b.Loads, b.Total
 }
 
 // Fetch reports whether missing knowledge may be fetched from a host now.
@@ -127,22 +132,48 @@
 	zone := p.zoneAlive(now)
 	rank := sort.Search(len(zone), func(i int) bool { return !zone[i].Less(p.c.Self.Address) })
 	plan.Leader = rank == 0
-	if plan.Leader || known.Age > p.c.Freshness+time.Duration(rank)*rankDelay {
-		if !plan.Leader {
-			p.readUntil = now.Add(keepReading)
-		}
-		plan.Read = true
-	}
-	plan.Read = plan.Read || now < p.readUntil
+	plan.Read = p.reads(now, known, rank)
 	if now < p.beaconAt {
 		return plan
 	}
 	// Jitter keeps the beacons of hosts that started together apart.
 	p.beaconAt = now.Add(BeaconInterval - time.Duration(p.random.Int64N(int64(BeaconInterval/5))))
-	plan.Tell = p.audience(now, zone, rank, known.Loaded)
+	plan.Tell = p.audience(zone, rank)
+	if plan.Leader {
+		plan.Leaders = p.leaders(now)
+	}
+	if !known.Loaded {
+		plan.Leaders = append(plan.Leaders, p.unheardSeeds()...)
+	}
 	return plan
 }
 
+// reads tells whether this host is to read the store: the first leader with
+// fresh knowledge does, and any host whose knowledge has become too old.
+func (p *Planner) reads(now cactuspin.Time, known keeper.Position, rank int) bool {
+	if rank == 0 && !p.fresherLeader(now, known.Age) {
+		return true
+	}
+	if known.Age > p.c.Freshness+time.Duration(rank)*rankDelay {
+		p.readUntil = now.Add(keepReading)
+	}
+	return now < p.readUntil
+}
+
+// fresherLeader tells whether another zone's leader comes before this one.
+func (p *Planner) fresherLeader(now cactuspin.Time, age time.Duration) bool {
+	for a, x := range p.peers {
+		if x.Zone == p.c.Self.Zone || x.leaving || now.Sub(x.heard) > aliveFor {
+			continue
+		}
+		fresh := x.age+now.Sub(x.heard) <= p.c.Freshness
+		if fresh && (a.Less(p.c.Self.Address) || age > p.c.Freshness) {
+			return true
+		}
+	}
+	return false
+}
+
 func (p *Planner) forget(now cactuspin.Time) {
 	for a, x := range p.peers {
 		if now.Sub(x.heard) > forgetAfter {
@@ -162,22 +193,20 @@
 	return alive
 }
 
-// audience returns whom this host tells: the first hosts of the zone tell all
-// of it, the others only the first; the first speaks to the other zones.
-func (p *Planner) audience(now cactuspin.Time, alive []netip.Addr, rank int, loaded bool) (to []netip.Addr) {
+// audience returns whom this host tells in its zone: the first hosts tell all
+// of it, the others only the first.
+func (p *Planner) audience(alive []netip.Addr, rank int) []netip.Addr {
 	if rank < listeners {
-		to = p.zoneKnown()
-	} else {
-		to = append(to, alive[:listeners]...)
-	}
-	if rank == 0 {
-		to = append(to, p.leaders(now)...)
+		return p.zoneKnown()
 	}
-	if !loaded {
-		for _, a := range p.c.Seeds {
-			if a != p.c.Self.Address && p.peers[a] == nil {
-				to = append(to, a)
-			}
+	return alive[:listeners]
+}
+
+// unheardSeeds returns the seeds that are not known yet.
+func (p *Planner) unheardSeeds() (to []netip.Addr) {
+	for _, a := range p.c.Seeds {
+		if a != p.c.Self.Address && p.peers[a] == nil {
+			to = append(to, a)
 		}
 	}
 	return to
@@ -221,30 +250,82 @@
 	return to
 }
 
-// Zone returns the living peers of this zone, which get pushed updates.
-func (p *Planner) Zone(now cactuspin.Time) []netip.Addr {
+// Audience returns the hosts that get pushed updates: the living peers of this
+// zone and, from its leader, the leaders of the others.
+func (p *Planner) Audience(now cactuspin.Time) (to []netip.Addr) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.zoneAlive(now)
+	to = p.zoneAlive(now)
+	if len(to) == 0 || p.c.Self.Address.Less(to[0]) {
+		to = append(to, p.leaders(now)...)
+	}
+	return to
 }
 
-// Loads returns the sum of what living peers have in progress.
-func (p *Planner) Loads(now cactuspin.Time) map[cactuspin.Cookie]encoder.TargetLoad {
+// Loads returns what this host's beacons say of loads, own being what it has in
+// progress: zone is the sum of this zone, total that of all hosts, and others
+// what other hosts have.
+func (p *Planner) Loads(now cactuspin.Time, own encoder.Loads) (zone, total, others encoder.Loads) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	sum := map[cactuspin.Cookie]encoder.TargetLoad{}
+	alive := p.zoneAlive(now)
+	if len(alive) > 0 && alive[0].Less(p.c.Self.Address) {
+		return nil, nil, subtract(p.peers[alive[0]].total, own)
+	}
+	sum := sums{}
+	for _, a := range alive {
+		sum.add(p.peers[a].loads)
+	}
+	zonePeers := sum.list()
 	for _, x := range p.peers {
-		if now.Sub(x.heard) > aliveFor {
-			continue
-		}
-		for _, l := range x.loads {
-			s := sum[l.Cookie]
-			s.Busy += l.Busy
-			s.Flows += l.Flows
-			sum[l.Cookie] = s
+		if x.Zone != p.c.Self.Zone && now.Sub(x.heard) <= aliveFor {
+			sum.add(x.loads)
 		}
 	}
-	return sum
+	others = sum.list()
+	sum.add(own)
+	total = sum.list()
+	sum = sums{}
+	sum.add(zonePeers)
+	sum.add(own)
+	return sum.list(), total, others
+}
+
+// sums adds up loads by target.
+type sums map[cactuspin.Cookie]encoder.TargetLoad
+
+func (s sums) add(loads encoder.Loads) {
+	for _, l := range loads {
+		x := s[l.Cookie]
+		x.Cookie = l.Cookie
+		x.Busy += l.Busy
+		x.Flows += l.Flows
+		s[l.Cookie] = x
+	}
+}
+
+// list returns the sums in the order of their cookies.
+func (s sums) list() encoder.Loads {
+	l := make(encoder.Loads, 0, len(s))
+	for _, x := range s {
+		l = append(l, x)
+	}
+	sort.Slice(l, func(i, j int) bool { return l[i].Cookie < l[j].Cookie })
+	return l
+}
+
+// subtract returns total without own.
+func subtract(total, own encoder.Loads) encoder.Loads {
+	mine := sums{}
+	mine.add(own)
+	rest := make(encoder.Loads, 0, len(total))
+	for _, x := range total {
+		m := mine[x.Cookie]
+		x.Busy -= min(x.Busy, m.Busy)
+		x.Flows -= min(x.Flows, m.Flows)
+		rest = append(rest, x)
+	}
+	return rest
 }
 
 // Alive returns how many other hosts are heard.
--- a/internal/steering/steerer/flow.go
+++ b/internal/steering/steerer/flow.go
@@ -117,11 +117,11 @@
 func (f *flow) observe(now cactuspin.Time, p *cactuspin.Packet) {
 	if !f.opened {
 		f.opened, f.acknowledged = true, p.Acknowledgement
-		f.target.live(now)
+		f.target.health.live(now)
 	}
 	if int32(p.Acknowledgement-f.acknowledged) > 0 {
 		f.acknowledged = p.Acknowledgement
-		f.target.live(now)
+		f.target.health.live(now)
 		f.finish()
 	}
 	f.observeData(now, p)
@@ -136,7 +136,7 @@
 	}
 	end := p.Sequence + uint32(p.Length)
 	if int32(end-f.sent) <= 0 {
-		f.target.miss(now, f.requested)
+		f.target.health.miss(now, f.requested)
 		return
 	}
 	f.sent = end
--- a/internal/steering/steerer/service.go
+++ b/internal/steering/steerer/service.go
@@ -3,69 +3,153 @@
 import (
 	"math"
 	"math/rand/v2"
+	"sort"
 
 	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/knowledge/encoder"
 )
 
 const (
 	// idleFlowLoad is the load of an open flow without a request in progress: the
 	// share of its time that a flow of repeated requests keeps a slot busy.
 	idleFlowLoad = 0.06
-	// otherZoneLoad is what a target in another zone counts as busier, in slots:
-	// enough to prefer this zone among equals only.
-	otherZoneLoad = 0.15
 	// maxCandidates bounds the targets that are compared for one flow, so that
 	// placement costs the same at any number of targets.
 	maxCandidates = 24
+	// spillAt is the share of a zone's slots in use from which new flows may go to
+	// other zones. Below it, flows stay in their zone and so outlive the others.
+	spillAt = 0.8
+	// spillMargin is by how much less another zone must be in use.
+	spillMargin = 0.15
 )
 
 // service is the targets of one service.
 type service struct {
 	name     cactuspin.ServiceName
-	targets  []*target
 	byCookie map[cactuspin.Cookie]*target
+	// zones are sorted by name.
+	zones []*zone
 }
 
-// choose returns the least loaded target. Suspect ones are used only if there
-// is no other.
-func (v *service) choose(now cactuspin.Time, zone cactuspin.ZoneID, not *target, random *rand.Rand) *target {
-	n := len(v.targets)
+// zone is the targets of a service in one zone.
+type zone struct {
+	name    cactuspin.ZoneID
+	targets []*target
+	// use is the share of the slots in use, as all hosts see it.
+	use float64
+}
+
+func (v *service) zone(name cactuspin.ZoneID) *zone {
+	i := sort.Search(len(v.zones), func(i int) bool { return v.zones[i].name >= name })
+	if i < len(v.zones) && v.zones[i].name == name {
+		return v.zones[i]
+	}
+	z := &zone{name: name}
+	v.zones = append(v.zones, nil)
+	copy(v.zones[i+1:], v.zones[i:])
+	v.zones[i] = z
+	return z
+}
+
+// choose returns the target of a new flow of callers in the zone home. Targets
+// that seem dead are used only if there is no other.
+func (v *service) choose(now cactuspin.Time, home cactuspin.ZoneID, not *target, random *rand.Rand) *target {
+	var suspect *target
+	if z := v.startZone(home, random); z != nil {
+		t, s := z.choose(now, not, random)
+		if t != nil {
+			return t
+		}
+		suspect = s
+	}
+	var best *target
+	lowest := math.Inf(1)
+	for _, z := range v.zones {
+		t, s := z.choose(now, not, random)
+		if t != nil && z.use < lowest {
+			best, lowest = t, z.use
+		}
+		if suspect == nil {
+			suspect = s
+		}
+	}
+	if best == nil {
+		return suspect
+	}
+	return best
+}
+
+// startZone returns home, or now and then the least used zone if home is
+// crowded: the more often, the larger the difference.
+func (v *service) startZone(home cactuspin.ZoneID, random *rand.Rand) *zone {
+	var own, least *zone
+	for _, z := range v.zones {
+		if z.name == home {
+			own = z
+		}
+		if len(z.targets) > 0 && (least == nil || z.use < least.use) {
+			least = z
+		}
+	}
+	if own == nil || own.use < spillAt || own.use-least.use < spillMargin {
+		return own
+	}
+	if random.Float64()*own.use < (own.use-least.use)/2 {
+		return least
+	}
+	return own
+}
+
+// choose returns the least loaded target, and one that seems dead.
+func (z *zone) choose(now cactuspin.Time, not *target, random *rand.Rand) (best, suspect *target) {
+	n := len(z.targets)
 	if n == 0 {
-		return nil
+		return nil, nil
 	}
 	first, compared := random.IntN(n), 0
-	var best, suspect *target
 	lowest := math.Inf(1)
 	for i := 0; i < n && compared < maxCandidates; i++ {
-		t := v.targets[(first+i)%n]
+		t := z.targets[(first+i)%n]
 		if !t.usable(now) || t == not {
 			continue
 		}
+		compared++
 		if t.suspect(now) {
 			suspect = t
 			continue
 		}
-		compared++
-		if l := t.load(now, zone); l < lowest {
+		if l := t.load(now); l < lowest {
 			best, lowest = t, l
 		}
 	}
-	if best == nil {
-		return suspect
-	}
-	return best
+	return best, suspect
 }
 
-// load estimates how long a new request would wait at the target.
-func (t *target) load(now cactuspin.Time, zone cactuspin.ZoneID) float64 {
-	busy := float64(t.busy.Load() + t.othersBusy.Load())
-	idle := float64(t.flows.Load()+t.othersFlows.Load()) - busy
-	l := (busy + idleFlowLoad*max(0, idle)) / float64(t.registered.Slots)
+// load estimates how long a new request would wait at the target, from what
+// this host sees: counts of other hosts are too old for it, and make all hosts
+// choose the same target.
+func (t *target) load(now cactuspin.Time) float64 {
+	busy := float64(t.busy.Load())
+	idle := float64(t.flows.Load()) - busy
+	slots := float64(t.registered.Slots)
+	l := (busy + idleFlowLoad*max(0, idle)) / slots
 	if now < t.warmUntil {
-		l = (l + 1/float64(t.registered.Slots)) * coldPenalty
-	}
-	if t.registered.Zone != zone {
-		l += otherZoneLoad / float64(t.registered.Slots)
+		l = (l + 1/slots) * coldPenalty
 	}
 	return l
 }
+
+// measure takes the loads of other hosts into the use of the zones.
+func (v *service) measure(others map[cactuspin.Cookie]encoder.TargetLoad) {
+	for _, z := range v.zones {
+		busy, slots := 0.0, 0
+		for _, t := range z.targets {
+			if t.registered.State != cactuspin.TargetReady {
+				continue
+			}
+			busy += t.meanBusy + float64(others[t.cookie].Busy)/encoder.BusyScale
+			slots += t.registered.Slots
+		}
+		z.use = busy / max(1, float64(slots))
+	}
+}
--- a/internal/steering/steerer/steerer.go
+++ b/internal/steering/steerer/steerer.go
@@ -106,7 +106,7 @@
 
 func (s *Steerer) setTarget(now cactuspin.Time, r *cactuspin.RegisteredTarget) {
 	t := s.targets[r.ID]
-	if t != nil && t.registered.Service == r.Service {
+	if t != nil && t.registered.Service == r.Service && t.registered.Zone == r.Zone {
 		t.update(now, r)
 		return
 	}
@@ -123,7 +123,8 @@
 		old.remove()
 	}
 	v.byCookie[t.cookie] = t
-	v.targets = append(v.targets, t)
+	z := v.zone(r.Zone)
+	z.targets = append(z.targets, t)
 	s.targets[r.ID] = t
 }
 
@@ -136,6 +137,9 @@
 	s.flows.sweep(now, idle)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	for _, t := range s.targets {
+		t.meanBusy += (float64(t.busy.Load()) - t.meanBusy) * busyWeight
+	}
 	for len(s.gone) > 0 && now.Sub(s.gone[0].goneAt) > goneMemory {
 		t := s.gone[0]
 		s.gone = s.gone[1:]
@@ -204,6 +208,12 @@
 		f.leave()
 		return s.refuse(now, p, v, cactuspin.ReasonTargetGone)
 	}
+	// The caller of a request that may run again is told at once that its target
+	// is dead. Others wait: their answer may still come directly from the target.
+	if p.Length > 0 && route.Kind != cactuspin.WorkNonIdempotent && t.health.isDown() {
+		f.leave()
+		return s.refuse(now, p, v, cactuspin.ReasonTargetDown)
+	}
 	v.Kind, v.Reason = cactuspin.VerdictForward, cactuspin.ReasonEstablished
 	t.fill(&v)
 	return v
@@ -253,7 +263,7 @@
 	if !t.usable(now) {
 		return s.place(now, h, route, nil), cactuspin.ReasonCopyOther
 	}
-	t.miss(now, f.seen)
+	t.health.miss(now, f.seen)
 	if t.suspect(now) {
 		if other := s.place(now, h, route, t); other != nil {
 			return other, cactuspin.ReasonCopyOther
@@ -294,14 +304,27 @@
 }
 
 // Loads returns what this host has in progress at each target that has any.
-func (s *Steerer) Loads() (loads []encoder.TargetLoad) {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
+func (s *Steerer) Loads() (loads encoder.Loads) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, t := range s.targets {
-		flows, busy := t.flows.Load(), t.busy.Load()
-		if flows > 0 {
-			loads = append(loads, encoder.TargetLoad{Cookie: t.cookie, Flows: uint16(flows), Busy: uint16(max(0, busy))})
+		flows, busy := t.flows.Load(), t.meanBusy
+		if flows > 0 || busy > 0 {
+			loads = append(loads, encoder.TargetLoad{Cookie: t.cookie, Flows: uint16(max(0, flows)), Busy: uint16(busy * encoder.BusyScale)})
 		}
 	}
 	return loads
 }
+
+// ShareLoads takes what other hosts have in progress at the targets.
+func (s *Steerer) ShareLoads(others encoder.Loads) {
+	byCookie := make(map[cactuspin.Cookie]encoder.TargetLoad, len(others))
+	for _, l := range others {
+		byCookie[l.Cookie] = l
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.services {
+		v.measure(byCookie)
+	}
+}
--- a/internal/steering/steerer/target.go
+++ b/internal/steering/steerer/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -9,11 +10,10 @@
 )
 
 const (
-	// suspicionTime is how long a target that left packets unanswered gets no new
-	// flows without a sign of life; then a few flows try it again.
-	suspicionTime = time.Second
 	// coldPenalty multiplies the load of a target that has just started.
 	coldPenalty = 1.6
+	// busyWeight is the share of the newest value in the running mean of busy.
+	busyWeight = 0.1
 )
 
 // target is a registered target with what its packets have shown.
@@ -27,11 +27,9 @@
 	goneAt cactuspin.Time
 	// flows and busy count the flows and requests that this host sees.
 	flows, busy atomic.Int32
-	// othersBusy and othersFlows are what other hosts last reported.
-	othersBusy, othersFlows atomic.Int32
-	// alive is the last sign of life, missed the last unanswered packet.
-	alive, missed atomic.Int64
-	misses        atomic.Int32
+	// meanBusy is the running mean of busy over some ten ticks.
+	meanBusy float64
+	health   health
 }
 
 func newTarget(now cactuspin.Time, r *cactuspin.RegisteredTarget, v *service) *target {
@@ -49,7 +47,7 @@
 
 func (t *target) update(now cactuspin.Time, r *cactuspin.RegisteredTarget) {
 	if r.Started != t.registered.Started {
-		t.live(now)
+		t.health.live(now)
 	}
 	t.registered = *r
 	t.warmUntil = now.Add(r.Warmup)
@@ -72,32 +70,14 @@
 	if t.service.byCookie[t.cookie] == t {
 		delete(t.service.byCookie, t.cookie)
 	}
-	for i, x := range t.service.targets {
-		if x == t {
-			t.service.targets = append(t.service.targets[:i], t.service.targets[i+1:]...)
-			return
-		}
+	z := t.service.zone(t.registered.Zone)
+	if i := slices.Index(z.targets, t); i >= 0 {
+		z.targets = slices.Delete(z.targets, i, i+1)
 	}
 }
 
-// miss takes word that a packet sent at sent had no answer until now.
-func (t *target) miss(now, sent cactuspin.Time) {
-	if t.alive.Load() < int64(sent) {
-		t.misses.Add(1)
-		t.missed.Store(int64(now))
-	}
-}
-
-// live takes a sign of life.
-func (t *target) live(now cactuspin.Time) {
-	t.alive.Store(int64(now))
-	t.misses.Store(0)
-}
-
 // suspect tells whether the target seems dead.
-func (t *target) suspect(now cactuspin.Time) bool {
-	return t.misses.Load() > 0 && now.Sub(cactuspin.Time(t.missed.Load())) < suspicionTime
-}
+func (t *target) suspect(now cactuspin.Time) bool { return t.health.avoid(now) }
 
 func (t *target) fill(v *cactuspin.Verdict) {
 	v.Number, v.Address, v.Target, v.Busy = t.registered.Number, t.registered.Address, t.registered.ID, int(t.busy.Load())
