Take requests that their callers gave up out of the counts

Cause: a request whose answer never came stayed in progress in the counts until its flow was idle for 15 s, so that targets and zones looked busy for long after a cut.

--- a/internal/steering/steerer/flow.go
+++ b/internal/steering/steerer/flow.go
@@ -27,6 +27,8 @@
 	// caller has received.
 	sent, acknowledged uint32
 	opened             bool
+	// timeout is how long callers of the route wait for an answer.
+	timeout time.Duration
 }
 
 // flowTable holds the remembered flows.
@@ -61,10 +63,10 @@
 func keyOf(p *cactuspin.Packet) flowKey { return flowKey{p.Caller, p.Service} }
 
 // open remembers that the first packet of a flow goes to t.
-func (h *flowShard) open(now cactuspin.Time, p *cactuspin.Packet, t *target) {
+func (h *flowShard) open(now cactuspin.Time, p *cactuspin.Packet, t *target, timeout time.Duration) {
 	f := h.flows[keyOf(p)]
 	if f == nil {
-		f = &flow{}
+		f = &flow{timeout: timeout}
 		h.add(p, f)
 	}
 	f.join(t)
@@ -72,10 +74,10 @@
 }
 
 // touch returns the flow of a packet that goes to t.
-func (h *flowShard) touch(now cactuspin.Time, p *cactuspin.Packet, t *target) *flow {
+func (h *flowShard) touch(now cactuspin.Time, p *cactuspin.Packet, t *target, timeout time.Duration) *flow {
 	f := h.flows[keyOf(p)]
 	if f == nil {
-		f = &flow{sent: p.Sequence, acknowledged: p.Acknowledgement, opened: true}
+		f = &flow{sent: p.Sequence, acknowledged: p.Acknowledgement, opened: true, timeout: timeout}
 		h.add(p, f)
 	}
 	f.join(t)
@@ -99,13 +101,17 @@
 	h.flows[keyOf(p)] = f
 }
 
-// sweep forgets the idle flows of one shard.
+// sweep forgets the idle flows of one shard, and requests that their callers
+// have given up.
 func (x *flowTable) sweep(now cactuspin.Time, idle time.Duration) {
 	h := &x.shards[x.next]
 	x.next = (x.next + 1) % flowShards
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for k, f := range h.flows {
+		if f.requested != 0 && now.Sub(f.requested) > f.timeout {
+			f.finish()
+		}
 		if now.Sub(f.seen) > idle {
 			f.leave()
 			delete(h.flows, k)
--- a/internal/steering/steerer/steerer.go
+++ b/internal/steering/steerer/steerer.go
@@ -202,7 +202,7 @@
 		}
 		return s.refuse(now, p, v, cactuspin.ReasonUnknownCookie)
 	}
-	f := h.touch(now, p, t)
+	f := h.touch(now, p, t, route.Timeout)
 	f.observe(now, p)
 	if t.ended(now) {
 		f.leave()
@@ -249,7 +249,7 @@
 	if t == nil {
 		return s.refuse(now, p, v, cactuspin.ReasonNoTarget)
 	}
-	h.open(now, p, t)
+	h.open(now, p, t, route.Timeout)
 	v.Kind, v.Cookie = cactuspin.VerdictForward, t.cookie
 	t.fill(&v)
 	return v
