--- a/internal/steering/steerer/service.go
+++ b/internal/steering/steerer/service.go
@@ -100,6 +100,21 @@
 	return own
 }
 
+// room tells whether a zone has free slots at a target that answers.
+func (v *service) room(now cactuspin.Time) bool {
+	for _, z := range v.zones {
+		if z.use >= 1 {
+			continue
+		}
+		for _, t := range z.targets[:min(len(z.targets), maxCandidates)] {
+			if t.usable(now) && !t.suspect(now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // choose returns the least loaded target, and one that seems dead.
 func (z *zone) choose(now cactuspin.Time, not *target, random *rand.Rand) (best, suspect *target) {
 	n := len(z.targets)
--- a/internal/steering/steerer/steerer.go
+++ b/internal/steering/steerer/steerer.go
@@ -209,8 +209,9 @@
 		return s.refuse(now, p, v, cactuspin.ReasonTargetGone)
 	}
 	// The caller of a request that may run again is told at once that its target
-	// is dead. Others wait: their answer may still come directly from the target.
-	if p.Length > 0 && route.Kind != cactuspin.WorkNonIdempotent && t.health.isDown() {
+	// is dead, if others have room. Callers of other requests wait: their answer
+	// may still come directly from the target.
+	if p.Length > 0 && route.Kind != cactuspin.WorkNonIdempotent && t.health.isDown() && t.service.room(now) {
 		f.leave()
 		return s.refuse(now, p, v, cactuspin.ReasonTargetDown)
 	}
