Let hosts hear each other before there are routes

Change: knowledge is complete once the store was read, with or without routes; hosts announce themselves at once; a pause follows each watch that brought news.

--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -190,13 +190,8 @@
 	go h.announce(ctx)
 }
 
-// announce makes this host known once it serves: routes first.
+// announce makes this host known to those that start later.
 func (h *host) announce(ctx context.Context) {
-	select {
-	case <-h.updater.Loaded():
-	case <-ctx.Done():
-		return
-	}
 	if err := h.learner.Announce(ctx, platform.NewStore(h.settings.Store, h.common.Logger)); err != nil && ctx.Err() == nil {
 		h.common.Logger.Error("store: announcing ended", slog.Any("error", err))
 	}
--- a/internal/entry/gossiper/gossiper.go
+++ b/internal/entry/gossiper/gossiper.go
@@ -145,7 +145,7 @@
 	zone, total, others := g.cfg.Planner.Loads(now, own)
 	g.cfg.ShareLoads(others)
 	b := g.beacon(now)
-	b.Answer = !b.Loaded
+	b.Answer = !b.Complete
 	b.Loads, b.Total = own, total
 	g.send(plan.Tell, &encoder.Datagram{Beacon: b})
 	b.Loads, b.Total = zone, nil
@@ -162,7 +162,7 @@
 		Changed:     p.Changed,
 		Age:         p.Age,
 		Settled:     p.Settled,
-		Loaded:      p.Loaded,
+		Complete:    p.Complete,
 		Leaving:     g.leaving.Load(),
 	}
 }
@@ -226,10 +226,10 @@
 func (g *Gossiper) hear(ctx context.Context, b *encoder.Beacon) {
 	now := g.cfg.Clock()
 	g.cfg.Planner.Hear(now, b)
-	if b.Answer && g.cfg.Keeper.Position(now).Loaded {
+	if b.Answer && g.cfg.Keeper.Position(now).Complete {
 		g.send([]netip.Addr{b.Host.Address}, &encoder.Datagram{Beacon: g.beacon(now)})
 	}
-	if !b.Loaded || now < cactuspin.Time(g.trustAt.Load()) {
+	if !b.Complete || now < cactuspin.Time(g.trustAt.Load()) {
 		return
 	}
 	if !g.cfg.Updater.Confirm(b.Revision, b.Changed, updater.Freshness{Age: b.Age, Settled: b.Settled}) {
--- a/internal/entry/learner/learner.go
+++ b/internal/entry/learner/learner.go
@@ -118,7 +118,7 @@
 func (l *Learner) read(ctx context.Context) error {
 	asked := l.cfg.Clock()
 	p := l.cfg.Keeper.Position(asked)
-	if !p.Loaded {
+	if !p.Complete {
 		return l.readAll(ctx)
 	}
 	u, err := l.cfg.Store.Watch(ctx, p.Revision, l.cfg.Wait)
@@ -167,6 +167,8 @@
 func (l *Learner) take(ctx context.Context, u *cactuspin.Update) {
 	if changed, ok := l.cfg.Updater.Update(u, "store"); ok && changed {
 		l.cfg.Spread(u)
+	}
+	if !u.Full && u.Revision > u.After {
 		l.sleep(ctx, batchTime)
 	}
 }
--- a/internal/knowledge/encoder/encoder.go
+++ b/internal/knowledge/encoder/encoder.go
@@ -69,7 +69,8 @@
 	Changed     cactuspin.Revision    `cbor:"4,keyasint"`
 	Age         time.Duration         `cbor:"5,keyasint"`
 	Settled     time.Duration         `cbor:"6,keyasint"`
-	Loaded      bool                  `cbor:"7,keyasint,omitempty"`
+	// Complete says that the host has knowledge to give.
+	Complete bool `cbor:"7,keyasint,omitempty"`
 	// Leaving says that the host is about to stop.
 	Leaving bool `cbor:"8,keyasint,omitempty"`
 	// Answer asks the receiver for a beacon at once.
--- a/internal/knowledge/keeper/keeper.go
+++ b/internal/knowledge/keeper/keeper.go
@@ -57,7 +57,8 @@
 	gone    map[cactuspin.TargetID]cactuspin.Revision
 	// horizon is the revision from which on all ended registrations are remembered.
 	horizon cactuspin.Revision
-	loaded  bool
+	// complete says that a full update was merged.
+	complete bool
 }
 
 // New returns a keeper that knows nothing.
@@ -76,14 +77,15 @@
 	Settled  time.Duration
 	Version  cactuspin.RoutingVersion
 	Targets  int
-	Loaded   bool
+	// Complete says that the store was read, Loaded that it had routes.
+	Complete, Loaded bool
 }
 
 // Position returns how far and how fresh the knowledge is.
 func (k *Keeper) Position(now cactuspin.Time) Position {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	p := Position{Revision: k.revision, Changed: k.changed, Age: k.age(now), Loaded: k.loaded, Targets: len(k.targets)}
+	p := Position{Revision: k.revision, Changed: k.changed, Age: k.age(now), Complete: k.complete, Loaded: k.loaded(), Targets: len(k.targets)}
 	p.Settled = max(0, now.Sub(k.settled))
 	if k.routing != nil {
 		p.Version = k.routing.Version
@@ -91,8 +93,11 @@
 	return p
 }
 
+// loaded tells whether the knowledge can be used: routes are known.
+func (k *Keeper) loaded() bool { return k.complete && k.routing != nil }
+
 func (k *Keeper) age(now cactuspin.Time) time.Duration {
-	if !k.loaded {
+	if !k.complete {
 		return unknownAge
 	}
 	return max(0, now.Sub(k.confirmed))
@@ -103,7 +108,7 @@
 func (k *Keeper) Merge(now cactuspin.Time, u *cactuspin.Update) (c Change, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !u.Full && (!k.loaded || u.After > k.revision) {
+	if !u.Full && (!k.complete || u.After > k.revision) {
 		return c, false
 	}
 	k.settled = max(k.settled, now.Add(-u.Settled))
@@ -122,7 +127,7 @@
 		k.changed = max(k.changed, r.Revision)
 	}
 	k.confirm(now, u.Revision, u.Age)
-	k.loaded = k.loaded || (u.Full && k.routing != nil)
+	k.complete = k.complete || u.Full
 	return c, true
 }
 
@@ -132,7 +137,7 @@
 func (k *Keeper) Confirm(now cactuspin.Time, revision, changed cactuspin.Revision, age, settled time.Duration) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.loaded || k.revision < changed {
+	if !k.complete || k.revision < changed {
 		return false
 	}
 	k.settled = max(k.settled, now.Add(-settled))
@@ -173,7 +178,7 @@
 			k.mergeGone(cactuspin.GoneTarget{ID: id, Revision: u.Revision}, hold, c)
 		}
 	}
-	if !k.loaded {
+	if !k.complete {
 		k.horizon = u.Revision
 	}
 }
@@ -225,7 +230,7 @@
 func (k *Keeper) Since(now cactuspin.Time, after cactuspin.Revision) (u cactuspin.Update, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.loaded {
+	if !k.complete {
 		return u, false
 	}
 	u = cactuspin.Update{Revision: k.revision, Age: k.age(now), Settled: max(0, now.Sub(k.settled))}
@@ -234,7 +239,7 @@
 		after = 0
 	}
 	u.After = after
-	if k.routing.Revision > after {
+	if k.routing != nil && k.routing.Revision > after {
 		u.Routing = k.routing
 	}
 	for _, t := range k.targets {
--- a/internal/knowledge/planner/planner.go
+++ b/internal/knowledge/planner/planner.go
@@ -142,7 +142,7 @@
 	if plan.Leader {
 		plan.Leaders = p.leaders(now)
 	}
-	if !known.Loaded {
+	if !known.Complete {
 		plan.Leaders = append(plan.Leaders, p.unheardSeeds()...)
 	}
 	return plan
@@ -154,6 +154,9 @@
 	if rank == 0 && !p.fresherLeader(now, known.Age) {
 		return true
 	}
+	if !known.Complete {
+		return true
+	}
 	if known.Age > p.c.Freshness+time.Duration(rank)*rankDelay {
 		p.readUntil = now.Add(keepReading)
 	}
