Decide in one pure engine a host, log each decision, serve metrics

Cause: watching, reading and telling were decided in drivers with their own goroutines, so no test without sockets could reach them; a failed request could not be followed. Change: internal/entry/engine takes events with the time and adds actions; the drivers call the store, send, fetch and probe. One line for each request and each decision about a flow, with the request's id where the packet shows it, through a bounded queue; past 200 lines a second flows are sampled whole. Status and explanations at the operators' address.

--- /dev/null
+++ b/internal/entry/engine/engine.go
@@ -0,0 +1,193 @@
+// Package engine decides for a whole host of the packet path. It takes typed
+// events with the time and adds typed actions; it opens no socket, reads no
+// clock and starts no goroutine, so that the daemon and the emulator run the
+// same decisions.
+package engine
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/knowledge/encoder"
+	"github.com/cactuspin/cactuspin/internal/knowledge/keeper"
+	"github.com/cactuspin/cactuspin/internal/knowledge/planner"
+	"github.com/cactuspin/cactuspin/internal/steering/steerer"
+)
+
+const (
+	// freshnessShare is the part of the bounds on knowledge, in percent, that its
+	// age may reach before a host reads for itself; the rest is for the reading.
+	freshnessShare = 45
+	// waitShare is the part of those bounds, in percent, that a watch may wait. It
+	// and a beacon's interval stay below freshnessShare.
+	waitShare = 22
+	// TickInterval is how often Tick is to be called: often enough that a change
+	// of readers takes little of the bounds on knowledge.
+	TickInterval = 50 * time.Millisecond
+	// longPause is a pause after which waiting datagrams are too old to tell how
+	// fresh they are.
+	longPause = 500 * time.Millisecond
+	// distrust is how long after a long pause no word of a peer counts as fresh.
+	distrust = 150 * time.Millisecond
+)
+
+// Config configures an engine.
+type Config struct {
+	Self        cactuspin.EntryHost
+	Incarnation cactuspin.Incarnation
+	Seeds       []netip.Addr
+	// Bound is the shorter of the bounds on routes and on targets' states.
+	Bound    time.Duration
+	MaxFlows int
+	Seed     uint64
+}
+
+// Engine decides for a host. It is safe for concurrent use.
+type Engine struct {
+	c       Config
+	keeper  *keeper.Keeper
+	planner *planner.Planner
+	steerer *steerer.Steerer
+
+	// mu guards what follows.
+	mu       sync.Mutex
+	random   *rand.Rand
+	last     cactuspin.Time
+	trustAt  cactuspin.Time
+	reading  bool
+	leaving  bool
+	fetching bool
+	store    storeState
+}
+
+// New returns an engine that knows nothing yet.
+func New(c Config) *Engine {
+	freshness := c.Bound * freshnessShare / 100
+	return &Engine{
+		c:       c,
+		keeper:  keeper.New(),
+		planner: planner.New(planner.Config{Self: c.Self, Incarnation: c.Incarnation, Seeds: c.Seeds, Freshness: freshness, Seed: c.Seed}),
+		steerer: steerer.New(steerer.Config{Zone: c.Self.Zone, Seed: c.Seed, StaleAfter: freshness, MaxFlows: c.MaxFlows}),
+		random:  rand.New(rand.NewPCG(c.Seed, 2)),
+		store:   storeState{pause: firstRetry},
+	}
+}
+
+// Steer returns the verdict about a packet.
+func (e *Engine) Steer(now cactuspin.Time, p *cactuspin.Packet) cactuspin.Verdict {
+	return e.steerer.Steer(now, p)
+}
+
+// Loaded tells whether routes are known, so that packets can be steered.
+func (e *Engine) Loaded(now cactuspin.Time) bool { return e.keeper.Position(now).Loaded }
+
+// Ready tells whether the fabric may send packets here.
+func (e *Engine) Ready(now cactuspin.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.leaving && e.keeper.Position(now).Loaded
+}
+
+// Tick lets time pass; it is to be called every TickInterval.
+func (e *Engine) Tick(now cactuspin.Time, out *Actions) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if gap := now.Sub(e.last); e.last != 0 && gap > longPause {
+		out.note(slog.LevelWarn, "host: woke up", slog.Duration("gap", gap))
+		e.trustAt = now.Add(distrust)
+	}
+	e.last = now
+	known := e.keeper.Position(now)
+	e.steerer.Refresh(now, known)
+	for _, u := range e.steerer.Tick(now) {
+		out.note(slog.LevelWarn, "flow: request unanswered", slog.String("caller", u.Caller.String()),
+			slog.String("service", u.Service.String()), slog.String("target", string(u.Target)), slog.Duration("waited", u.Waited))
+	}
+	out.Probes = append(out.Probes, e.steerer.Probes(now)...)
+	plan := e.planner.Tick(now, known)
+	if plan.Read != e.reading {
+		e.reading = plan.Read
+		out.note(slog.LevelInfo, "store: reader changed", slog.Bool("reads", plan.Read), slog.Bool("leader", plan.Leader),
+			slog.Duration("age", known.Age))
+	}
+	e.call(now, out)
+	if len(plan.Tell)+len(plan.Leaders) > 0 {
+		e.tell(now, &plan, out)
+	}
+}
+
+// Stop begins a planned stop: the fabric and the peers are told, packets are
+// steered on.
+func (e *Engine) Stop(out *Actions) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = true
+	out.note(slog.LevelInfo, "host: stopping")
+}
+
+// Probed takes the result of a probe that began at began.
+func (e *Engine) Probed(now, began cactuspin.Time, p steerer.Probe, answered bool, out *Actions) {
+	if e.steerer.Probed(now, began, p.Target, answered) {
+		out.note(slog.LevelInfo, "target: condition changed", slog.String("target", string(p.Target)),
+			slog.String("address", p.Address.String()), slog.Bool("down", !answered), slog.Duration("took", now.Sub(began)))
+	}
+}
+
+// Since returns what a peer that is complete up to a revision lacks. It reports
+// false if this host has nothing to give.
+func (e *Engine) Since(now cactuspin.Time, after cactuspin.Revision) (cactuspin.Update, bool) {
+	return e.keeper.Since(now, after)
+}
+
+// take merges an update that came from source, and pushes what is new on.
+func (e *Engine) take(now cactuspin.Time, u *cactuspin.Update, source string, out *Actions) bool {
+	e.planner.Learn(now, u.Hosts)
+	c, ok := e.keeper.Merge(now, u)
+	if !ok {
+		return false
+	}
+	known := e.keeper.Position(now)
+	e.steerer.Refresh(now, known)
+	if c.Empty() {
+		return true
+	}
+	e.steerer.Apply(now, &c)
+	noteChange(&c, known, source, out)
+	// Whole updates are not pushed: peers that lack something fetch it.
+	if !u.Full {
+		news := *u
+		news.Hosts = nil
+		out.send(e.planner.Audience(now), encoder.Datagram{Update: &news})
+	}
+	return true
+}
+
+// Status is what a host knows and has in progress.
+type Status struct {
+	keeper.Position
+	Reading, Leaving bool
+	Peers            int
+	Flows            int
+	Verdicts         map[cactuspin.VerdictReason]uint64
+	Down             []cactuspin.TargetID
+}
+
+// Status returns the state of the host for operators and metrics.
+func (e *Engine) Status(now cactuspin.Time) Status {
+	e.mu.Lock()
+	reading, leaving := e.reading, e.leaving
+	e.mu.Unlock()
+	return Status{
+		Position: e.keeper.Position(now), Reading: reading, Leaving: leaving, Peers: e.planner.Alive(now),
+		Flows: e.steerer.Flows(), Verdicts: e.steerer.Verdicts(), Down: e.steerer.Down(),
+	}
+}
+
+// Explain tells where packets of a flow go.
+func (e *Engine) Explain(now cactuspin.Time, caller, service netip.AddrPort) steerer.Explanation {
+	return e.steerer.Explain(now, caller, service)
+}
--- /dev/null
+++ b/internal/entry/engine/peers.go
@@ -0,0 +1,101 @@
+package engine
+
+import (
+	"log/slog"
+	"net/netip"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/knowledge/encoder"
+	"github.com/cactuspin/cactuspin/internal/knowledge/planner"
+)
+
+// tell sends beacons: to this zone with what all hosts have in progress, to
+// other zones with what this one has.
+func (e *Engine) tell(now cactuspin.Time, plan *planner.Plan, out *Actions) {
+	own := e.steerer.Loads()
+	zone, total, others := e.planner.Loads(now, own)
+	e.steerer.ShareLoads(others)
+	b := e.beacon(now)
+	b.Answer = !b.Complete
+	near, far := b, b
+	near.Loads, near.Total = own, total
+	far.Loads = zone
+	out.send(plan.Tell, encoder.Datagram{Beacon: &near})
+	out.send(plan.Leaders, encoder.Datagram{Beacon: &far})
+}
+
+// beacon returns a beacon without loads.
+func (e *Engine) beacon(now cactuspin.Time) encoder.Beacon {
+	p := e.keeper.Position(now)
+	return encoder.Beacon{
+		Host:        e.c.Self,
+		Incarnation: e.c.Incarnation,
+		Revision:    p.Revision,
+		Changed:     p.Changed,
+		Age:         p.Age,
+		Settled:     p.Settled,
+		Complete:    p.Complete,
+		Leaving:     e.leaving,
+	}
+}
+
+// Datagram takes what a peer sent.
+func (e *Engine) Datagram(now cactuspin.Time, from netip.Addr, d *encoder.Datagram, out *Actions) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if d.Beacon != nil {
+		e.hear(now, d.Beacon, out)
+		return
+	}
+	if now < e.trustAt {
+		return
+	}
+	if !e.take(now, d.Update, from.String(), out) {
+		e.fetch(now, from, out)
+	}
+}
+
+func (e *Engine) hear(now cactuspin.Time, b *encoder.Beacon, out *Actions) {
+	if e.planner.Hear(now, b) {
+		out.note(slog.LevelInfo, "peer: heard", slog.String("host", b.Host.Address.String()), slog.String("zone", string(b.Host.Zone)),
+			slog.Uint64("incarnation", uint64(b.Incarnation)), slog.Uint64("revision", uint64(b.Revision)))
+	}
+	if b.Answer && e.keeper.Position(now).Complete {
+		answer := e.beacon(now)
+		out.send([]netip.Addr{b.Host.Address}, encoder.Datagram{Beacon: &answer})
+	}
+	if !b.Complete || now < e.trustAt {
+		return
+	}
+	if !e.keeper.Confirm(now, b.Revision, b.Changed, b.Age, b.Settled) {
+		e.fetch(now, b.Host.Address, out)
+		return
+	}
+	e.steerer.Refresh(now, e.keeper.Position(now))
+}
+
+// fetch asks a peer for what this host lacks.
+func (e *Engine) fetch(now cactuspin.Time, host netip.Addr, out *Actions) {
+	if e.fetching || !e.planner.Fetch(now, host) {
+		return
+	}
+	e.fetching = true
+	out.Fetch = &Fetch{Host: host, After: e.keeper.Position(now).Revision, Asked: now}
+}
+
+// Fetched takes the answer to a fetch.
+func (e *Engine) Fetched(now cactuspin.Time, f *Fetch, u *cactuspin.Update, err error, out *Actions) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fetching = false
+	if err != nil {
+		out.note(slog.LevelInfo, "peer: update not fetched", slog.String("host", f.Host.String()), slog.Any("error", err))
+		return
+	}
+	// The answer may be as old as the question.
+	u.Age += now.Sub(f.Asked)
+	if f.Asked < e.trustAt {
+		return
+	}
+	e.take(now, u, f.Host.String(), out)
+}
--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -29,8 +29,8 @@
 	// Ready is closed when the steerer can decide. Packets wait in the socket
 	// until then.
 	Ready <-chan struct{}
-	// Observe takes each verdict that is no plain forwarding of an open flow.
-	Observe func(p *cactuspin.Packet, v *cactuspin.Verdict)
+	// Observe takes the verdict about each packet b. It must not wait.
+	Observe func(now cactuspin.Time, p *cactuspin.Packet, v *cactuspin.Verdict, b []byte)
 }
 
 // Forwarder forwards packets.
@@ -124,7 +124,5 @@
 	if err != nil {
 		f.failed.Add(1)
 	}
-	if v.Reason != cactuspin.ReasonEstablished {
-		f.cfg.Observe(p, &v)
-	}
+	f.cfg.Observe(now, p, &v, packet)
 }
--- a/internal/entry/prober/prober.go
+++ b/internal/entry/prober/prober.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/entry/engine"
 	"github.com/cactuspin/cactuspin/internal/server/provider"
 	"github.com/cactuspin/cactuspin/internal/steering/steerer"
 )
@@ -33,7 +34,8 @@
 // Config configures a Prober.
 type Config struct {
 	provider.Common
-	Steerer *steerer.Steerer
+	Engine *engine.Engine
+	Handle engine.Handler
 }
 
 // Prober probes targets.
@@ -42,27 +44,20 @@
 // New returns a Prober.
 func New(c Config) *Prober { return &Prober{cfg: c} }
 
-// Start probes what is due, in the background.
-func (p *Prober) Start(ctx context.Context, now cactuspin.Time) {
-	for _, x := range p.cfg.Steerer.Probes(now) {
-		go p.probe(ctx, x)
-	}
-}
-
-func (p *Prober) probe(ctx context.Context, x steerer.Probe) {
-	began := p.cfg.Clock()
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	err := p.connect(ctx, x.Address)
-	now := p.cfg.Clock()
-	if err != nil && now.Sub(began) > dialTimeout+maxLateness {
-		p.cfg.Logger.Debug("target: probe too late", slog.String("target", string(x.Target)), slog.Duration("took", now.Sub(began)))
-		return
-	}
-	if p.cfg.Steerer.Probed(now, began, x.Target, err == nil) {
-		p.cfg.Logger.Info("target: condition changed", slog.String("target", string(x.Target)), slog.String("address", x.Address.String()),
-			slog.Bool("down", err != nil), slog.Duration("took", now.Sub(began)), slog.Any("error", err))
-	}
+// Probe probes a target in the background and hands the result to the engine.
+func (p *Prober) Probe(ctx context.Context, x steerer.Probe) {
+	go func() {
+		began := p.cfg.Clock()
+		limited, cancel := context.WithTimeout(ctx, dialTimeout)
+		defer cancel()
+		err := p.connect(limited, x.Address)
+		took := p.cfg.Clock().Sub(began)
+		if ctx.Err() != nil || (err != nil && took > dialTimeout+maxLateness) {
+			p.cfg.Logger.Debug("target: probe without result", slog.String("target", string(x.Target)), slog.Duration("took", took))
+			return
+		}
+		p.cfg.Handle(func(now cactuspin.Time, out *engine.Actions) { p.cfg.Engine.Probed(now, began, x, err == nil, out) })
+	}()
 }
 
 // connect tries two connections and returns nil if one of them opens. A target
--- /dev/null
+++ b/internal/entry/reporter/reporter.go
@@ -0,0 +1,104 @@
+// Package reporter turns verdicts about packets into log lines and measurements.
+// Lines are bounded: past a rate, flows are sampled whole, so that what is
+// logged of a flow can be followed, and what was left out is counted.
+package reporter
+
+import (
+	"context"
+	"hash/maphash"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"github.com/cactuspin/cactuspin"
+)
+
+const (
+	// linesPerSecond is the rate up to which every flow is logged: about 40 KB a
+	// second, twice what a host of today's sizes logs on its busiest day.
+	linesPerSecond = 200
+	// sampleShare is one of how many flows are logged above that rate.
+	sampleShare = 16
+	window      = time.Second
+)
+
+// Config configures a Reporter.
+type Config struct {
+	Logger *slog.Logger
+	Format cactuspin.PacketFormat
+	// Measure takes the time from a request to its first answer.
+	Measure func(answered time.Duration)
+}
+
+// Reporter reports verdicts. Observe is to be called by one goroutine.
+type Reporter struct {
+	cfg    Config
+	seed   maphash.Seed
+	began  cactuspin.Time
+	lines  int
+	left   int
+	leftUp atomic.Uint64
+}
+
+// New returns a Reporter.
+func New(c Config) *Reporter { return &Reporter{cfg: c, seed: maphash.MakeSeed()} }
+
+// LeftOut returns how many lines were left out so far.
+func (r *Reporter) LeftOut() uint64 { return r.leftUp.Load() }
+
+// Observe takes the verdict v about the packet b, whose header is p.
+func (r *Reporter) Observe(now cactuspin.Time, p *cactuspin.Packet, v *cactuspin.Verdict, b []byte) {
+	if v.Answered > 0 {
+		r.cfg.Measure(v.Answered)
+	}
+	if v.Reason == cactuspin.ReasonEstablished && !v.Request && !v.Repeat {
+		return
+	}
+	if !r.admit(now, p) {
+		return
+	}
+	r.log(p, v, b)
+}
+
+// admit tells whether a line about the flow of p may be written.
+func (r *Reporter) admit(now cactuspin.Time, p *cactuspin.Packet) bool {
+	if now.Sub(r.began) >= window {
+		if r.left > 0 {
+			r.cfg.Logger.Warn("flow: lines left out", slog.Int("lines", r.left), slog.Int("one_in", sampleShare))
+		}
+		r.began, r.lines, r.left = now, 0, 0
+	}
+	if r.lines++; r.lines <= linesPerSecond || maphash.Comparable(r.seed, p.Caller)%sampleShare == 0 {
+		return true
+	}
+	r.left++
+	r.leftUp.Add(1)
+	return false
+}
+
+func (r *Reporter) log(p *cactuspin.Packet, v *cactuspin.Verdict, b []byte) {
+	level, message := slog.LevelInfo, "flow: forwarded"
+	switch {
+	case v.Kind == cactuspin.VerdictReset:
+		level, message = slog.LevelWarn, "flow: reset"
+	case v.Kind == cactuspin.VerdictDrop:
+		level, message = slog.LevelWarn, "flow: dropped"
+	}
+	attributes := make([]slog.Attr, 0, 12)
+	attributes = append(attributes, slog.String("reason", v.Reason.String()),
+		slog.String("caller", p.Caller.String()), slog.String("service", p.Service.String()))
+	if p.Length > 0 {
+		if id := r.cfg.Format.RequestID(b); id != nil {
+			attributes = append(attributes, slog.String("request", string(id)))
+		}
+	}
+	if v.Repeat {
+		attributes = append(attributes, slog.Bool("repeat", true))
+	}
+	if v.Target != "" {
+		attributes = append(attributes, slog.String("target", string(v.Target)), slog.String("address", v.Address.String()), slog.Int("busy", v.Busy))
+	}
+	attributes = append(attributes, slog.Uint64("cookie", uint64(p.Cookie)), slog.String("route", string(v.Route)),
+		slog.Uint64("version", uint64(v.Version)), slog.Duration("age", v.Age))
+	r.cfg.Logger.LogAttrs(context.Background(), level, message, attributes...)
+}
--- a/internal/knowledge/planner/planner.go
+++ b/internal/knowledge/planner/planner.go
@@ -96,20 +96,23 @@
 	}
 }
 
-// Hear takes a beacon.
-func (p *Planner) Hear(now cactuspin.Time, b *encoder.Beacon) {
+// Hear takes a beacon. It reports whether its host was not alive before, or is
+// another incarnation.
+func (p *Planner) Hear(now cactuspin.Time, b *encoder.Beacon) (fresh bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if b.Host.Address == p.c.Self.Address {
-		return
+		return false
 	}
 	x := p.peers[b.Host.Address]
 	if x == nil {
 		x = &peer{}
 		p.peers[b.Host.Address] = x
 	}
+	fresh = x.incarnation != b.Incarnation || now.Sub(x.heard) > aliveFor
 	x.EntryHost, x.incarnation, x.heard, x.leaving = b.Host, b.Incarnation, now, b.Leaving
 	x.age, x.loads, x.total = b.Age, b.Loads, b.Total
+	return fresh
 }
 
 // Fetch reports whether missing knowledge may be fetched from a host now.
--- a/internal/steering/steerer/flow.go
+++ b/internal/steering/steerer/flow.go
@@ -101,15 +101,30 @@
 	h.flows[keyOf(p)] = f
 }
 
+// maxUnanswered bounds the requests that one sweep reports.
+const maxUnanswered = 16
+
+// Unanswered is a request that had no answer within its route's timeout, as far
+// as its packets came through this host.
+type Unanswered struct {
+	Caller, Service netip.AddrPort
+	Target          cactuspin.TargetID
+	// Waited is the time since the request.
+	Waited time.Duration
+}
+
 // sweep forgets the idle flows of one shard, and requests that their callers
-// have given up.
-func (x *flowTable) sweep(now cactuspin.Time, idle time.Duration) {
+// have given up, which it returns.
+func (x *flowTable) sweep(now cactuspin.Time, idle time.Duration) (lost []Unanswered) {
 	h := &x.shards[x.next]
 	x.next = (x.next + 1) % flowShards
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for k, f := range h.flows {
 		if f.requested != 0 && now.Sub(f.requested) > f.timeout {
+			if len(lost) < maxUnanswered {
+				lost = append(lost, Unanswered{Caller: k.caller, Service: k.service, Target: f.target.registered.ID, Waited: now.Sub(f.requested)})
+			}
 			f.finish()
 		}
 		if now.Sub(f.seen) > idle {
@@ -117,10 +132,12 @@
 			delete(h.flows, k)
 		}
 	}
+	return lost
 }
 
-// observe learns from a packet that the caller sent on the flow.
-func (f *flow) observe(now cactuspin.Time, p *cactuspin.Packet) {
+// observe learns from a packet that the caller sent on the flow, and tells the
+// verdict what the packet does.
+func (f *flow) observe(now cactuspin.Time, p *cactuspin.Packet, v *cactuspin.Verdict) {
 	if !f.opened {
 		f.opened, f.acknowledged = true, p.Acknowledgement
 		f.target.health.live(now)
@@ -128,25 +145,30 @@
 	if int32(p.Acknowledgement-f.acknowledged) > 0 {
 		f.acknowledged = p.Acknowledgement
 		f.target.health.live(now)
+		if f.requested != 0 {
+			v.Answered = now.Sub(f.requested)
+		}
 		f.finish()
 	}
-	f.observeData(now, p)
+	f.observeData(now, p, v)
 	if p.Flags&(cactuspin.FlagRST|cactuspin.FlagFIN) != 0 {
 		f.leave()
 	}
 }
 
-func (f *flow) observeData(now cactuspin.Time, p *cactuspin.Packet) {
+func (f *flow) observeData(now cactuspin.Time, p *cactuspin.Packet, v *cactuspin.Verdict) {
 	if p.Length == 0 {
 		return
 	}
 	end := p.Sequence + uint32(p.Length)
 	if int32(end-f.sent) <= 0 {
+		v.Repeat = true
 		f.target.health.miss(now, f.requested)
 		return
 	}
 	f.sent = end
 	if f.requested == 0 {
+		v.Request = true
 		f.requested = now
 		f.target.busy.Add(1)
 	}
--- a/internal/steering/steerer/steerer.go
+++ b/internal/steering/steerer/steerer.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -128,13 +129,14 @@
 	s.targets[r.ID] = t
 }
 
-// Tick forgets flows and targets that ended long ago.
-func (s *Steerer) Tick(now cactuspin.Time) {
+// Tick forgets flows and targets that ended long ago, and returns requests
+// without an answer.
+func (s *Steerer) Tick(now cactuspin.Time) []Unanswered {
 	idle := goneMemory
 	if r := s.routes.Load(); r != nil && r.idle > 0 {
 		idle = r.idle
 	}
-	s.flows.sweep(now, idle)
+	lost := s.flows.sweep(now, idle)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, t := range s.targets {
@@ -145,6 +147,7 @@
 		s.gone = s.gone[1:]
 		t.remove()
 	}
+	return lost
 }
 
 // Steer returns the verdict about a packet.
@@ -203,7 +206,7 @@
 		return s.refuse(now, p, v, cactuspin.ReasonUnknownCookie)
 	}
 	f := h.touch(now, p, t, route.Timeout)
-	f.observe(now, p)
+	f.observe(now, p, &v)
 	if t.ended(now) {
 		f.leave()
 		return s.refuse(now, p, v, cactuspin.ReasonTargetGone)
@@ -240,7 +243,7 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	f := h.flows[keyOf(p)]
-	v.Reason = cactuspin.ReasonPlaced
+	v.Reason, v.Repeat = cactuspin.ReasonPlaced, p.Acknowledgement > 0
 	var t *target
 	if f != nil && f.target != nil {
 		t, v.Reason = s.placeCopy(now, h, f, route)
@@ -329,3 +332,36 @@
 		v.measure(byCookie)
 	}
 }
+
+// Verdicts returns how often each reason decided.
+func (s *Steerer) Verdicts() map[cactuspin.VerdictReason]uint64 {
+	m := make(map[cactuspin.VerdictReason]uint64, verdictReasons)
+	for i := range s.counters {
+		m[cactuspin.VerdictReason(i)] = s.counters[i].Load()
+	}
+	return m
+}
+
+// Flows returns the number of remembered flows.
+func (s *Steerer) Flows() (n int) {
+	for i := range s.flows.shards {
+		h := &s.flows.shards[i]
+		h.mu.Lock()
+		n += len(h.flows)
+		h.mu.Unlock()
+	}
+	return n
+}
+
+// Down returns the targets that are believed dead.
+func (s *Steerer) Down() (down []cactuspin.TargetID) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for id, t := range s.targets {
+		if t.health.isDown() {
+			down = append(down, id)
+		}
+	}
+	slices.Sort(down)
+	return down
+}
--- a/packet.go
+++ b/packet.go
@@ -83,6 +83,12 @@
 	Busy int
 	// Age is how old the knowledge is that decided.
 	Age time.Duration
+	// Request says that the packet begins a request on the flow, Repeat that its
+	// data or its SYN was sent before.
+	Request, Repeat bool
+	// Answered is the time from a request to its first answer that this packet
+	// acknowledges, or 0.
+	Answered time.Duration
 }
 
 // Steerer decides about packets.
@@ -100,6 +106,8 @@
 	// PutTarget writes the number of a target before a packet. b has
 	// TargetPrefix bytes.
 	PutTarget(b []byte, number uint64)
+	// RequestID returns the request's id if the data of the packet b shows it.
+	RequestID(b []byte) []byte
 	// AppendReset appends the packet that ends the caller's flow of p.
 	AppendReset(dst []byte, p *Packet) []byte
 }
