--- /dev/null
+++ b/internal/standin/simulator/simulator_test.go
@@ -0,0 +1,48 @@
+package simulator_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cactuspin/cactuspin/internal/standin/simulator"
+)
+
+// seeds is how many runs each story gets.
+const seeds = 3
+
+// TestStories plays the stories of test/packets. TRACE=NAME prints one.
+func TestStories(t *testing.T) {
+	files, err := filepath.Glob("../../../test/packets/*.yaml")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	NewWithT(t).Expect(files).NotTo(BeEmpty())
+	for _, f := range files {
+		name := strings.TrimSuffix(filepath.Base(f), ".yaml")
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			text, err := os.ReadFile(f)
+			g.Expect(err).NotTo(HaveOccurred())
+			story, err := simulator.Parse(text)
+			g.Expect(err).NotTo(HaveOccurred())
+			for seed := range uint64(seeds) {
+				s := simulator.New(story, seed)
+				if os.Getenv("TRACE") == name {
+					s.Trace = func(line string) { t.Log(line) }
+				}
+				r := s.Run()
+				g.Expect(r.Broken).To(BeEmpty(), "seed %d", seed)
+				g.Expect(r.Asked).To(BeNumerically(">", 100))
+				g.Expect(float64(r.Served)/float64(r.Served+r.Failed)).To(BeNumerically(">=", story.Served), "seed %d", seed)
+				if story.Calls > 0 {
+					length := story.Lead.Duration + story.Length.Duration
+					g.Expect(float64(r.Calls)/length.Seconds()).To(BeNumerically("<=", story.Calls), "seed %d", seed)
+				}
+				t.Logf("seed %d: %d asked, %d served, %d failed, %d calls", seed, r.Asked, r.Served, r.Failed, r.Calls)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/standin/simulator/story.go
@@ -0,0 +1,59 @@
+package simulator
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.yaml.in/yaml/v3"
+)
+
+// Story says what a run has and what happens in it.
+type Story struct {
+	Zones []string `yaml:"zones"`
+	// HostsPerZone, TargetsPerZone and CallersPerZone are sizes.
+	HostsPerZone   int      `yaml:"hosts_per_zone"`
+	TargetsPerZone int      `yaml:"targets_per_zone"`
+	CallersPerZone int      `yaml:"callers_per_zone"`
+	Lead           Duration `yaml:"lead"`
+	Length         Duration `yaml:"length"`
+	Faults         []Fault  `yaml:"faults"`
+	// Served is the least share of requests that must be answered in time.
+	Served float64 `yaml:"served"`
+	// Calls is the most calls of the store a second, over the run, or 0.
+	Calls float64 `yaml:"calls"`
+}
+
+// Fault is something that happens during a run.
+type Fault struct {
+	At   Duration `yaml:"at"`
+	Kind string   `yaml:"kind"`
+	For  Duration `yaml:"for"`
+	// Host, Target and Zone say where; Count says how many, from there on.
+	Host   int     `yaml:"host"`
+	Target int     `yaml:"target"`
+	Zone   string  `yaml:"zone"`
+	Count  int     `yaml:"count"`
+	Share  float64 `yaml:"share"`
+	How    string  `yaml:"how"`
+}
+
+// Duration is read from text such as 1.5s.
+type Duration struct{ time.Duration }
+
+// UnmarshalYAML reads a duration.
+func (d *Duration) UnmarshalYAML(n *yaml.Node) (err error) {
+	d.Duration, err = time.ParseDuration(n.Value)
+	return errors.WithStack(err)
+}
+
+// Parse reads a story.
+func Parse(text []byte) (s *Story, err error) {
+	defer func() { err = errors.Wrap(err, "parse story") }()
+	s = &Story{
+		Zones: []string{"a", "b", "c"}, HostsPerZone: 2, TargetsPerZone: 4, CallersPerZone: 24,
+		Lead: Duration{2 * time.Second}, Length: Duration{20 * time.Second}, Served: 0.9,
+	}
+	return s, errors.WithStack(yaml.Unmarshal(text, s))
+}
+
+func (s *Story) lead() time.Duration { return s.Lead.Duration }
