--- /dev/null
+++ b/internal/knowledge/encoder/encoder_test.go
@@ -0,0 +1,71 @@
+package encoder_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/knowledge/encoder"
+)
+
+func sample() encoder.Datagram {
+	return encoder.Datagram{Beacon: &encoder.Beacon{
+		Host:     cactuspin.EntryHost{Address: netip.MustParseAddr("10.1.0.7"), Zone: "a"},
+		Revision: 7, Changed: 5, Age: time.Second, Complete: true,
+		Loads: encoder.Loads{{Cookie: 9, Busy: 3 * encoder.BusyScale, Flows: 700}},
+	}}
+}
+
+func TestDatagramsSurviveTheWire(t *testing.T) {
+	g := NewWithT(t)
+	beacon := sample()
+	update := encoder.Datagram{Update: &cactuspin.Update{After: 3, Revision: 9, Gone: []cactuspin.GoneTarget{{ID: "x", Revision: 8}},
+		Targets: []cactuspin.RegisteredTarget{{ID: "y", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 3}}}}
+	for _, d := range []encoder.Datagram{beacon, update} {
+		b, err := encoder.Encode(&d)
+		g.Expect(err).NotTo(HaveOccurred())
+		back, err := encoder.Decode(b)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(back).To(Equal(d))
+	}
+}
+
+func TestBeaconOfManyTargetsFitsIntoAFrame(t *testing.T) {
+	g := NewWithT(t)
+	d := sample()
+	d.Beacon.Loads = nil
+	for i := range 150 {
+		d.Beacon.Loads = append(d.Beacon.Loads, encoder.TargetLoad{Cookie: cactuspin.Cookie(i + 1), Flows: 9})
+	}
+	b, err := encoder.Encode(&d)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(b)).To(BeNumerically("<=", encoder.MaxDatagram))
+}
+
+func TestDatagramsWithoutMeaningAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	empty, err := encoder.Encode(&encoder.Datagram{})
+	g.Expect(err).NotTo(HaveOccurred())
+	nobody, err := encoder.Encode(&encoder.Datagram{Beacon: &encoder.Beacon{}})
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, b := range [][]byte{nil, {0xff}, empty, nobody} {
+		_, err := encoder.Decode(b)
+		g.Expect(err).To(HaveOccurred())
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	d := sample()
+	b, err := encoder.Encode(&d)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		_, _ = encoder.Decode(b)
+		_, _ = encoder.DecodeUpdate(b)
+	})
+}
--- /dev/null
+++ b/internal/knowledge/planner/planner_test.go
@@ -0,0 +1,117 @@
+package planner_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/knowledge/encoder"
+	"github.com/cactuspin/cactuspin/internal/knowledge/keeper"
+	"github.com/cactuspin/cactuspin/internal/knowledge/planner"
+)
+
+const (
+	now       = cactuspin.Time(1_000_000_000_000)
+	freshness = 1350 * time.Millisecond
+)
+
+func host(zone byte, n byte) cactuspin.EntryHost {
+	return cactuspin.EntryHost{Address: netip.AddrFrom4([4]byte{10, zone, 0, n}), Zone: cactuspin.ZoneID(rune('a' + zone))}
+}
+
+func newPlanner(self cactuspin.EntryHost) *planner.Planner {
+	return planner.New(planner.Config{Self: self, Incarnation: 1, Freshness: freshness, Seed: 1})
+}
+
+func hear(p *planner.Planner, at cactuspin.Time, age time.Duration, hosts ...cactuspin.EntryHost) {
+	for _, h := range hosts {
+		p.Hear(at, &encoder.Beacon{Host: h, Incarnation: 5, Complete: true, Age: age})
+	}
+}
+
+func known(age time.Duration) keeper.Position {
+	return keeper.Position{Complete: true, Loaded: true, Age: age}
+}
+
+func TestOnlyTheFirstLeaderReads(t *testing.T) {
+	g := NewWithT(t)
+	first, second, third := newPlanner(host(0, 1)), newPlanner(host(0, 2)), newPlanner(host(1, 1))
+	hear(first, now, 0, host(0, 2), host(1, 1))
+	hear(second, now, 0, host(0, 1))
+	hear(third, now, 0, host(0, 1))
+	g.Expect(first.Tick(now, known(0)).Read).To(BeTrue())
+	g.Expect(second.Tick(now, known(0)).Read).To(BeFalse())
+	plan := third.Tick(now, known(0))
+	g.Expect(plan.Read).To(BeFalse())
+	g.Expect(plan.Leader).To(BeTrue())
+}
+
+func TestALeaderWithOldKnowledgeIsPassedOver(t *testing.T) {
+	g := NewWithT(t)
+	next := newPlanner(host(1, 1))
+	hear(next, now, 2*freshness, host(0, 1))
+	g.Expect(next.Tick(now, known(0)).Read).To(BeTrue())
+	stale := newPlanner(host(0, 1))
+	hear(stale, now, 0, host(1, 1))
+	g.Expect(stale.Tick(now, known(freshness/2)).Read).To(BeTrue(), "still fresh, and first")
+}
+
+func TestASilentReaderIsReplaced(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlanner(host(0, 2))
+	hear(p, now, 0, host(0, 1))
+	g.Expect(p.Tick(now.Add(time.Second), known(time.Second)).Read).To(BeFalse())
+	g.Expect(p.Tick(now.Add(1300*time.Millisecond), known(1300*time.Millisecond)).Read).To(BeTrue(), "it leads now")
+}
+
+func TestOldKnowledgeMakesAnyHostRead(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlanner(host(0, 9))
+	hear(p, now, 0, host(0, 1), host(0, 2))
+	g.Expect(p.Tick(now, known(freshness)).Read).To(BeFalse())
+	g.Expect(p.Tick(now, known(freshness+time.Second)).Read).To(BeTrue())
+	g.Expect(p.Tick(now.Add(time.Second), known(0)).Read).To(BeTrue(), "it reads on for a while")
+	hear(p, now.Add(4*time.Second), 0, host(0, 1), host(0, 2))
+	g.Expect(p.Tick(now.Add(4*time.Second), known(0)).Read).To(BeFalse())
+}
+
+func TestBeaconsGrowWithTheZoneAndNotItsSquare(t *testing.T) {
+	g := NewWithT(t)
+	told := 0
+	const hosts = 14
+	for i := byte(1); i <= hosts; i++ {
+		p := newPlanner(host(0, i))
+		for j := byte(1); j <= hosts; j++ {
+			if i != j {
+				hear(p, now, 0, host(0, j))
+			}
+		}
+		hear(p, now, 0, host(1, 1), host(1, 2), host(2, 1))
+		plan := p.Tick(now, known(0))
+		told += len(plan.Tell)
+		if i == 1 {
+			g.Expect(plan.Leaders).To(ConsistOf(host(1, 1).Address, host(2, 1).Address))
+		} else {
+			g.Expect(plan.Leaders).To(BeEmpty())
+		}
+	}
+	g.Expect(told).To(Equal(3*(hosts-1) + 3*(hosts-3)))
+}
+
+func TestLoadsAreAddedUpOnce(t *testing.T) {
+	g := NewWithT(t)
+	leader, member := newPlanner(host(0, 1)), newPlanner(host(0, 2))
+	load := func(flows uint16) encoder.Loads { return encoder.Loads{{Cookie: 7, Flows: flows}} }
+	leader.Hear(now, &encoder.Beacon{Host: host(0, 2), Loads: load(2)})
+	leader.Hear(now, &encoder.Beacon{Host: host(1, 1), Loads: load(40)})
+	zone, total, others := leader.Loads(now, load(1))
+	g.Expect(zone).To(Equal(load(3)))
+	g.Expect(total).To(Equal(load(43)))
+	g.Expect(others).To(Equal(load(42)))
+	member.Hear(now, &encoder.Beacon{Host: host(0, 1), Total: total})
+	_, _, others = member.Loads(now, load(2))
+	g.Expect(others).To(Equal(load(41)))
+}
--- a/internal/steering/steerer/explain.go
+++ b/internal/steering/steerer/explain.go
@@ -51,7 +51,7 @@
 	if f := h.flows[keyOf(&p)]; f != nil && f.target != nil {
 		x.Known, x.Target, x.Busy = true, f.target.registered.ID, int(f.target.busy.Load())
 	}
-	route := table.routes[address]
+	route := table.routes[endpointOf(address)]
 	if route == nil {
 		return x
 	}
--- a/internal/steering/steerer/flow.go
+++ b/internal/steering/steerer/flow.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"encoding/binary"
 	"math/rand/v2"
 	"net/netip"
 	"sync"
@@ -12,9 +13,23 @@
 // flowShards is the number of parts of the flow table, each with its own lock.
 const flowShards = 16
 
+// endpoint is an IPv4 address and a port in a form that is cheap to hash.
+type endpoint uint64
+
+func endpointOf(a netip.AddrPort) endpoint {
+	b := a.Addr().As4()
+	return endpoint(binary.BigEndian.Uint32(b[:]))<<16 | endpoint(a.Port())
+}
+
+func (e endpoint) addrPort() netip.AddrPort {
+	var b [4]byte
+	binary.BigEndian.PutUint32(b[:], uint32(e>>16))
+	return netip.AddrPortFrom(netip.AddrFrom4(b), uint16(e))
+}
+
 // flowKey is the four-tuple of a flow.
 type flowKey struct {
-	caller, service netip.AddrPort
+	caller, service endpoint
 }
 
 // flow is what a host remembers of a flow.
@@ -60,7 +75,7 @@
 	return &x.shards[(uint(a[3])^uint(p.Caller.Port()))%flowShards]
 }
 
-func keyOf(p *cactuspin.Packet) flowKey { return flowKey{p.Caller, p.Service} }
+func keyOf(p *cactuspin.Packet) flowKey { return flowKey{endpointOf(p.Caller), endpointOf(p.Service)} }
 
 // open remembers that the first packet of a flow goes to t.
 func (h *flowShard) open(now cactuspin.Time, p *cactuspin.Packet, t *target, timeout time.Duration) {
@@ -123,7 +138,7 @@
 	for k, f := range h.flows {
 		if f.requested != 0 && now.Sub(f.requested) > f.timeout {
 			if len(lost) < maxUnanswered {
-				lost = append(lost, Unanswered{Caller: k.caller, Service: k.service, Target: f.target.registered.ID, Waited: now.Sub(f.requested)})
+				lost = append(lost, Unanswered{Caller: k.caller.addrPort(), Service: k.service.addrPort(), Target: f.target.registered.ID, Waited: now.Sub(f.requested)})
 			}
 			f.finish()
 		}
--- a/internal/steering/steerer/steerer.go
+++ b/internal/steering/steerer/steerer.go
@@ -5,7 +5,6 @@
 package steerer
 
 import (
-	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -58,7 +57,7 @@
 type routeTable struct {
 	version cactuspin.RoutingVersion
 	idle    time.Duration
-	routes  map[netip.AddrPort]*cactuspin.Route
+	routes  map[endpoint]*cactuspin.Route
 }
 
 // New returns a steerer without knowledge; it drops everything.
@@ -98,9 +97,9 @@
 }
 
 func (s *Steerer) setRouting(r *cactuspin.Routing) {
-	t := &routeTable{version: r.Version, idle: r.IdleTimeout, routes: make(map[netip.AddrPort]*cactuspin.Route, len(r.Routes))}
+	t := &routeTable{version: r.Version, idle: r.IdleTimeout, routes: make(map[endpoint]*cactuspin.Route, len(r.Routes))}
 	for i := range r.Routes {
-		t.routes[r.Routes[i].Address] = &r.Routes[i]
+		t.routes[endpointOf(r.Routes[i].Address)] = &r.Routes[i]
 	}
 	s.routes.Store(t)
 }
@@ -167,7 +166,7 @@
 		return cactuspin.Verdict{Reason: cactuspin.ReasonNotReady}
 	}
 	v := cactuspin.Verdict{Version: table.version}
-	route := table.routes[p.Service]
+	route := table.routes[endpointOf(p.Service)]
 	if route == nil {
 		return s.refuse(now, p, v, cactuspin.ReasonNoRoute)
 	}
--- /dev/null
+++ b/internal/steering/steerer/steerer_benchmark_test.go
@@ -0,0 +1,86 @@
+package steerer_test
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/knowledge/keeper"
+	"github.com/cactuspin/cactuspin/internal/steering/steerer"
+)
+
+// newSized returns a steerer with targets behind as many addresses.
+func newSized(targets, addresses int) *steerer.Steerer {
+	s := steerer.New(steerer.Config{Zone: "a", Seed: 1, StaleAfter: time.Second, MaxFlows: 1 << 20})
+	r := &cactuspin.Routing{Version: 1, IdleTimeout: time.Minute}
+	for i := range addresses {
+		r.Routes = append(r.Routes, cactuspin.Route{
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443), Timeout: time.Second,
+			Services: []cactuspin.WeightedService{{Service: cactuspin.ServiceName(fmt.Sprintf("s%d", i%max(1, targets/9))), Weight: 1}},
+		})
+	}
+	c := keeper.Change{Routing: r}
+	for i := range targets {
+		t := registered(i+1, fmt.Sprintf("s%d", i%max(1, targets/9)), "a")
+		c.Targets = append(c.Targets, t)
+	}
+	s.Apply(now, &c)
+	s.Refresh(now, keeper.Position{Settled: time.Minute})
+	return s
+}
+
+func sizes(b *testing.B, run func(b *testing.B, s *steerer.Steerer)) {
+	for _, n := range []struct{ targets, addresses int }{{18, 10}, {150, 243}, {140_000, 22_000}} {
+		b.Run(fmt.Sprintf("targets=%d", n.targets), func(b *testing.B) {
+			s := newSized(n.targets, n.addresses)
+			b.ReportAllocs()
+			run(b, s)
+		})
+	}
+}
+
+func BenchmarkEstablished(b *testing.B) {
+	sizes(b, func(b *testing.B, s *steerer.Steerer) {
+		service := netip.MustParseAddrPort("198.18.0.1:443")
+		v := s.Steer(now, syn(1, service, 0))
+		p := data(1, service, v.Cookie, 0)
+		p.Length = 0
+		for b.Loop() {
+			s.Steer(now, p)
+		}
+	})
+}
+
+func BenchmarkSYN(b *testing.B) {
+	sizes(b, func(b *testing.B, s *steerer.Steerer) {
+		p := syn(1, netip.MustParseAddrPort("198.18.0.1:443"), 0)
+		i := 0
+		for b.Loop() {
+			i++
+			p.Caller = netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(i >> 12), byte(i >> 4)}), uint16(i))
+			s.Steer(now, p)
+		}
+	})
+}
+
+func BenchmarkFlowMemory(b *testing.B) {
+	const flows = 200_000
+	for b.Loop() {
+		s := newSized(150, 243)
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		p := syn(1, netip.MustParseAddrPort("198.18.0.1:443"), 0)
+		for i := range flows {
+			p.Caller = netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, byte(i >> 16), byte(i >> 8), byte(i)}), 40000)
+			s.Steer(now, p)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/flows, "B/flow")
+		runtime.KeepAlive(s)
+	}
+}
--- /dev/null
+++ b/internal/steering/steerer/steerer_test.go
@@ -0,0 +1,293 @@
+package steerer_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/knowledge/encoder"
+	"github.com/cactuspin/cactuspin/internal/knowledge/keeper"
+	"github.com/cactuspin/cactuspin/internal/steering/steerer"
+)
+
+const now = cactuspin.Time(1_000_000_000_000)
+
+var (
+	feeds   = netip.MustParseAddrPort("198.18.0.1:443")
+	orders  = netip.MustParseAddrPort("198.18.0.1:8443")
+	nowhere = netip.MustParseAddrPort("198.18.0.9:1")
+)
+
+func registered(i int, service, zone string) cactuspin.RegisteredTarget {
+	return cactuspin.RegisteredTarget{
+		ID: cactuspin.TargetID(fmt.Sprintf("%s-%d", service, i)), Number: uint64(i), Service: cactuspin.ServiceName(service),
+		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 80),
+		Zone:    cactuspin.ZoneID(zone), Slots: 3, Revision: cactuspin.Revision(i),
+	}
+}
+
+func routing() *cactuspin.Routing {
+	one := func(s cactuspin.ServiceName) []cactuspin.WeightedService {
+		return []cactuspin.WeightedService{{Service: s, Weight: 1}}
+	}
+	return &cactuspin.Routing{Version: 3, IdleTimeout: 15 * time.Second, Routes: []cactuspin.Route{
+		{Name: "feed", Address: feeds, Kind: cactuspin.WorkIdempotent, Services: one("desk"), Timeout: 1500 * time.Millisecond},
+		{Name: "order", Address: orders, Kind: cactuspin.WorkNonIdempotent, Services: one("desk"), Timeout: 2 * time.Second},
+	}}
+}
+
+// newSteerer returns a steerer in zone a with fresh knowledge of two targets in
+// each of the zones.
+func newSteerer(seed uint64, zones ...string) *steerer.Steerer {
+	s := steerer.New(steerer.Config{Zone: "a", Seed: seed, StaleAfter: time.Second, MaxFlows: 1 << 12})
+	c := keeper.Change{Routing: routing()}
+	for z, zone := range zones {
+		c.Targets = append(c.Targets, registered(2*z+1, "desk", zone), registered(2*z+2, "desk", zone))
+	}
+	s.Apply(now, &c)
+	s.Refresh(now, keeper.Position{Settled: time.Minute})
+	return s
+}
+
+func caller(port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), uint16(port))
+}
+
+func syn(port int, service netip.AddrPort, copies uint32) *cactuspin.Packet {
+	return &cactuspin.Packet{Caller: caller(port), Service: service, Flags: cactuspin.FlagSYN, Sequence: 100, Acknowledgement: copies}
+}
+
+// data is request n of a flow, each of 50 bytes and answered by 400.
+func data(port int, service netip.AddrPort, cookie cactuspin.Cookie, n uint32) *cactuspin.Packet {
+	return &cactuspin.Packet{Caller: caller(port), Service: service, Flags: cactuspin.FlagACK, Cookie: cookie, Length: 50,
+		Sequence: 101 + 50*n, Acknowledgement: 1 + 400*n}
+}
+
+func TestAnyHostFindsTheTargetOfAFlow(t *testing.T) {
+	g := NewWithT(t)
+	one, other := newSteerer(1, "a", "b"), newSteerer(99, "a", "b")
+	for port := range 200 {
+		placed := one.Steer(now, syn(port, feeds, 0))
+		g.Expect(placed.Kind).To(Equal(cactuspin.VerdictForward))
+		followed := other.Steer(now, data(port, feeds, placed.Cookie, 0))
+		g.Expect(followed.Kind).To(Equal(cactuspin.VerdictForward))
+		g.Expect(followed.Target).To(Equal(placed.Target))
+		g.Expect(followed.Cookie).To(BeZero(), "the caller's cookie stays")
+	}
+}
+
+func TestFlowsStayInTheirZoneUntilItIsCrowded(t *testing.T) {
+	g := NewWithT(t)
+	s := newSteerer(1, "a", "b")
+	for port := range 100 {
+		g.Expect(s.Steer(now, syn(port, feeds, 0)).Number).To(BeNumerically("<=", 2))
+	}
+	crowded := encoder.Loads{}
+	for _, l := range s.Loads() {
+		crowded = append(crowded, encoder.TargetLoad{Cookie: l.Cookie, Busy: 6 * encoder.BusyScale})
+	}
+	s.ShareLoads(crowded)
+	elsewhere := 0
+	for port := range 200 {
+		if s.Steer(now, syn(1000+port, feeds, 0)).Number > 2 {
+			elsewhere++
+		}
+	}
+	g.Expect(elsewhere).To(BeNumerically("~", 100, 60))
+}
+
+func TestLeastLoadedTargetOfTheZoneTakesAFlow(t *testing.T) {
+	g := NewWithT(t)
+	s := newSteerer(1, "a")
+	for port := range 60 {
+		v := s.Steer(now, syn(port, feeds, 0))
+		s.Steer(now, data(port, feeds, v.Cookie, 0))
+	}
+	loads := s.Loads()
+	g.Expect(loads).To(HaveLen(2))
+	g.Expect(loads[0].Flows).To(Equal(uint16(30)))
+}
+
+func TestDrainingAndGoneTargets(t *testing.T) {
+	g := NewWithT(t)
+	s := newSteerer(1, "a")
+	v := s.Steer(now, syn(1, feeds, 0))
+	draining := registered(int(v.Number), "desk", "a")
+	draining.State, draining.Revision = cactuspin.TargetDraining, 50
+	s.Apply(now, &keeper.Change{Targets: []cactuspin.RegisteredTarget{draining}})
+	for port := range 50 {
+		g.Expect(s.Steer(now, syn(100+port, feeds, 0)).Target).NotTo(Equal(v.Target))
+	}
+	copied := s.Steer(now, syn(1, feeds, 1))
+	g.Expect(copied.Target).NotTo(Equal(v.Target), "a copy is a new flow too")
+	g.Expect(s.Steer(now, data(2, feeds, v.Cookie, 0)).Target).To(Equal(v.Target), "open flows stay")
+	s.Apply(now, &keeper.Change{Gone: []keeper.Gone{{GoneTarget: cactuspin.GoneTarget{ID: v.Target, Revision: 60}, Hold: time.Second}}})
+	g.Expect(s.Steer(now, data(3, feeds, v.Cookie, 0)).Kind).To(Equal(cactuspin.VerdictForward), "it may live")
+	ended := s.Steer(now.Add(time.Second), data(3, feeds, v.Cookie, 1))
+	g.Expect(ended.Kind).To(Equal(cactuspin.VerdictReset))
+	g.Expect(ended.Reason).To(Equal(cactuspin.ReasonTargetGone))
+}
+
+func TestUnknownCookies(t *testing.T) {
+	g := NewWithT(t)
+	s := newSteerer(1, "a")
+	v := s.Steer(now, data(1, feeds, 12345, 0))
+	g.Expect(v.Kind).To(Equal(cactuspin.VerdictReset), "no target has it, and the knowledge is fresh")
+	s.Refresh(now, keeper.Position{Settled: time.Second})
+	g.Expect(s.Steer(now, data(1, feeds, 12345, 0)).Kind).To(Equal(cactuspin.VerdictDrop), "after a fault its target may register again")
+	s.Refresh(now, keeper.Position{Settled: time.Minute, Age: 2 * time.Second})
+	g.Expect(s.Steer(now, data(1, feeds, 12345, 0)).Kind).To(Equal(cactuspin.VerdictDrop), "the knowledge is old")
+}
+
+func TestRoutesThatAreNotThere(t *testing.T) {
+	g := NewWithT(t)
+	s := newSteerer(1, "a")
+	g.Expect(s.Steer(now, syn(1, nowhere, 0)).Kind).To(Equal(cactuspin.VerdictReset))
+	s.Refresh(now, keeper.Position{Age: 2 * time.Second})
+	g.Expect(s.Steer(now, syn(1, nowhere, 0)).Kind).To(Equal(cactuspin.VerdictDrop), "it may be new")
+	g.Expect(steerer.New(steerer.Config{}).Steer(now, syn(1, feeds, 0)).Reason).To(Equal(cactuspin.ReasonNotReady))
+}
+
+func TestForgedAndClosingPackets(t *testing.T) {
+	g := NewWithT(t)
+	s := newSteerer(1, "a")
+	p := syn(1, feeds, 0)
+	p.Flags |= cactuspin.FlagACK
+	g.Expect(s.Steer(now, p).Kind).To(Equal(cactuspin.VerdictDrop))
+	p.Flags = cactuspin.FlagRST
+	g.Expect(s.Steer(now, p).Kind).To(Equal(cactuspin.VerdictDrop), "a reset is never answered by one")
+	v := s.Steer(now, syn(2, feeds, 0))
+	for _, f := range []cactuspin.PacketFlags{cactuspin.FlagFIN | cactuspin.FlagACK, cactuspin.FlagRST} {
+		x := data(2, feeds, v.Cookie, 0)
+		x.Flags, x.Length = f, 0
+		g.Expect(s.Steer(now, x).Target).To(Equal(v.Target))
+	}
+	g.Expect(s.Flows()).To(BeZero())
+}
+
+// silent makes the target of v suspect: a copy of a first packet had no answer.
+func silent(s *steerer.Steerer, port int) (cactuspin.Verdict, cactuspin.Verdict) {
+	v := s.Steer(now, syn(port, feeds, 0))
+	return v, s.Steer(now.Add(200*time.Millisecond), syn(port, feeds, 1))
+}
+
+func TestASilentTargetIsProbedAndAvoided(t *testing.T) {
+	g := NewWithT(t)
+	s := newSteerer(1, "a")
+	v, copied := silent(s, 1)
+	g.Expect(copied.Target).NotTo(Equal(v.Target))
+	at := now.Add(200 * time.Millisecond)
+	due := s.Probes(at)
+	g.Expect(due).To(HaveLen(1))
+	g.Expect(due[0].Target).To(Equal(v.Target))
+	g.Expect(s.Probes(at)).To(BeEmpty(), "one at a time")
+	for port := range 20 {
+		g.Expect(s.Steer(at, syn(50+port, feeds, 0)).Target).NotTo(Equal(v.Target))
+	}
+	g.Expect(s.Probed(at, at, v.Target, true)).To(BeFalse())
+	g.Expect(s.Down()).To(BeEmpty())
+}
+
+func TestIdempotentWorkAtADeadTargetIsReset(t *testing.T) {
+	g := NewWithT(t)
+	s := newSteerer(1, "a")
+	v, copied := silent(s, 1)
+	at := now.Add(500 * time.Millisecond)
+	g.Expect(s.Steer(at, data(2, feeds, v.Cookie, 0)).Kind).To(Equal(cactuspin.VerdictForward), "only suspect")
+	g.Expect(s.Probed(at, at, v.Target, false)).To(BeTrue())
+	g.Expect(s.Down()).To(Equal([]cactuspin.TargetID{v.Target}))
+	g.Expect(s.Probes(at)).To(HaveLen(2), "the other target of the zone is doubted too")
+	s.Probed(at, at, copied.Target, true)
+	reset := s.Steer(at, data(3, feeds, v.Cookie, 0))
+	g.Expect(reset.Kind).To(Equal(cactuspin.VerdictReset))
+	g.Expect(reset.Reason).To(Equal(cactuspin.ReasonTargetDown))
+	g.Expect(s.Steer(at, data(4, orders, v.Cookie, 0)).Kind).To(Equal(cactuspin.VerdictForward), "an order may have run")
+	acknowledgement := data(5, feeds, v.Cookie, 0)
+	acknowledgement.Length = 0
+	g.Expect(s.Steer(at, acknowledgement).Kind).To(Equal(cactuspin.VerdictForward), "an answer may be on its way")
+	s.Probed(at, at, v.Target, true)
+	g.Expect(s.Steer(at, data(6, feeds, v.Cookie, 0)).Kind).To(Equal(cactuspin.VerdictForward))
+}
+
+func TestNoResetWithoutRoomElsewhere(t *testing.T) {
+	g := NewWithT(t)
+	s := newSteerer(1, "a")
+	v, _ := silent(s, 1)
+	s.Probed(now, now, v.Target, false)
+	other, _ := silent(s, 2)
+	s.Probed(now, now, other.Target, false)
+	g.Expect(s.Steer(now, data(3, feeds, v.Cookie, 0)).Kind).To(Equal(cactuspin.VerdictForward))
+	g.Expect(s.Steer(now, syn(4, feeds, 0)).Kind).To(Equal(cactuspin.VerdictForward), "a dead target is better than none")
+}
+
+func TestASignOfLifeEndsSuspicion(t *testing.T) {
+	g := NewWithT(t)
+	s := newSteerer(1, "a")
+	v, _ := silent(s, 1)
+	s.Probed(now, now, v.Target, false)
+	s.Steer(now, data(9, orders, v.Cookie, 0))
+	s.Steer(now.Add(time.Second), data(9, orders, v.Cookie, 1))
+	g.Expect(s.Down()).To(BeEmpty(), "an answer moved")
+}
+
+func TestARestartUnderTheSameIDCountsAsALife(t *testing.T) {
+	g := NewWithT(t)
+	s := newSteerer(1, "a")
+	v, _ := silent(s, 1)
+	s.Probed(now, now, v.Target, false)
+	again := registered(int(v.Number), "desk", "a")
+	again.Started, again.Revision = 5, 70
+	s.Apply(now, &keeper.Change{Targets: []cactuspin.RegisteredTarget{again}})
+	g.Expect(s.Down()).To(BeEmpty())
+}
+
+func TestAnAddressInAnotherServiceIsAnotherTarget(t *testing.T) {
+	g := NewWithT(t)
+	s := newSteerer(1, "a")
+	v := s.Steer(now, syn(1, feeds, 0))
+	moved := registered(90, "shelf", "a")
+	moved.Address = v.Address
+	s.Apply(now, &keeper.Change{Gone: []keeper.Gone{{GoneTarget: cactuspin.GoneTarget{ID: v.Target, Revision: 80}}}, Targets: []cactuspin.RegisteredTarget{moved}})
+	for port := range 50 {
+		g.Expect(s.Steer(now, syn(100+port, feeds, 0)).Number).NotTo(Equal(uint64(90)))
+	}
+	g.Expect(s.Steer(now, data(1, feeds, v.Cookie, 0)).Kind).To(Equal(cactuspin.VerdictReset))
+}
+
+func TestRequestsAreReported(t *testing.T) {
+	g := NewWithT(t)
+	s := newSteerer(1, "a")
+	cookie := s.Steer(now, syn(1, feeds, 0)).Cookie
+	first := s.Steer(now, data(1, feeds, cookie, 0))
+	g.Expect(first.Request).To(BeTrue())
+	again := s.Steer(now.Add(200*time.Millisecond), data(1, feeds, cookie, 0))
+	g.Expect(again.Repeat).To(BeTrue())
+	next := s.Steer(now.Add(300*time.Millisecond), data(1, feeds, cookie, 1))
+	g.Expect(next.Answered).To(Equal(300 * time.Millisecond))
+	g.Expect(next.Request).To(BeTrue())
+	var lost []steerer.Unanswered
+	for range 32 {
+		lost = append(lost, s.Tick(now.Add(2*time.Second))...)
+	}
+	g.Expect(lost).To(HaveLen(1))
+	g.Expect(lost[0].Caller).To(Equal(caller(1)))
+	g.Expect(s.Loads()[0].Flows).To(Equal(uint16(1)), "the flow itself lives")
+}
+
+func TestTheFlowTableIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	s := newSteerer(1, "a")
+	for port := range 60000 {
+		s.Steer(now, syn(port, feeds, 0))
+	}
+	g.Expect(s.Flows()).To(BeNumerically("<=", 1<<12))
+	total := 0
+	for _, l := range s.Loads() {
+		total += int(l.Flows)
+	}
+	g.Expect(total).To(Equal(s.Flows()))
+}
