--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 SHELL := /bin/bash
 
-.PHONY: build demo demo-ho-chi-minh test lint matrix knockouts floods bench capacity load
+.PHONY: build demo demo-requests demo-ho-chi-minh test lint matrix knockouts floods bench capacity load
 
 LINTER := go run github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
@@ -8,6 +8,9 @@
 	go build -o bin/ ./cmd/...
 
 demo: build
+	bash demo/packets.sh
+
+demo-requests: build
 	bash demo/run.sh lima
 
 demo-ho-chi-minh: build
@@ -21,6 +24,7 @@
 
 bench:
 	go test -run '^$$' -bench 'Established|NewFlow|SealAndOpen' -benchtime 1s ./internal/host/engine ./internal/routing/sealer
+	go test -run '^$$' -bench . -benchtime 1s ./internal/steering/steerer
 
 floods: build
 	bin/cactuspin-standin floods test/matrix.yaml --bundle examples/lima-1.yaml --bundle examples/lima-2.yaml
--- a/internal/app/standin/standin.go
+++ b/internal/app/standin/standin.go
@@ -46,6 +46,7 @@
 	add(fabric(a))
 	add(target(a))
 	add(call(a, out))
+	add(packets(a, out))
 	add(matrix(a, out))
 	add(floods(a, out))
 	add(balance(a, out))
--- /dev/null
+++ b/internal/standin/metastore/metastore.go
@@ -0,0 +1,253 @@
+// Package metastore is a stand-in of the platform's metadata store, by its
+// published formats: items, ranges, watches, transactions and leases over HTTP.
+package metastore
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// pageItems is the most items of a page.
+const pageItems = 500
+
+// item is an item of the store, or the event of its end.
+type item struct {
+	Key      string `json:"key"`
+	Value    []byte `json:"value,omitempty"`
+	Revision uint64 `json:"revision"`
+	Created  uint64 `json:"created,omitempty"`
+	Lease    uint64 `json:"lease"`
+	Deleted  bool   `json:"deleted,omitempty"`
+}
+
+// Store is the stand-in. It is safe for concurrent use.
+type Store struct {
+	mu       sync.Mutex
+	revision uint64
+	kept     uint64
+	items    map[string]item
+	history  []item
+	leases   map[uint64]time.Duration
+	changed  chan struct{}
+	failing  bool
+	calls    int
+}
+
+// New returns an empty store.
+func New() *Store {
+	return &Store{revision: 1, items: map[string]item{}, leases: map[uint64]time.Duration{}, changed: make(chan struct{})}
+}
+
+// Put writes an item.
+func (s *Store) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(key, value, 0)
+}
+
+func (s *Store) put(key string, value []byte, lease uint64) {
+	s.revision++
+	x := item{Key: key, Value: value, Revision: s.revision, Created: s.revision, Lease: lease}
+	if old, ok := s.items[key]; ok {
+		x.Created = old.Created
+	}
+	s.items[key] = x
+	s.record(x)
+}
+
+// Remove removes an item.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.items[key]; ok {
+		s.revision++
+		delete(s.items, key)
+		s.record(item{Key: key, Revision: s.revision, Deleted: true})
+	}
+}
+
+func (s *Store) record(x item) {
+	s.history = append(s.history, x)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Forget drops the history.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history, s.kept = nil, s.revision
+}
+
+// Fail makes the store refuse all calls, or take them again.
+func (s *Store) Fail(failing bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing = failing
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Calls returns how many calls were made.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// ServeHTTP answers calls.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	failing := s.failing
+	s.mu.Unlock()
+	switch {
+	case failing:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case r.URL.Path == "/kv-range":
+		s.serveRange(w, r)
+	case r.URL.Path == "/kv-watch":
+		s.serveWatch(w, r)
+	case r.URL.Path == "/kv-txn":
+		s.serveTransaction(w, r)
+	case r.URL.Path == "/kv-lease":
+		s.serveLease(w, r)
+	case strings.HasPrefix(r.URL.Path, "/kv-keep/"):
+		s.serveKeep(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	q := r.URL.Query()
+	found := []item{}
+	for k, x := range s.items {
+		if strings.HasPrefix(k, q.Get("prefix")) && k > q.Get("after") {
+			found = append(found, x)
+		}
+	}
+	slices.SortFunc(found, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
+	more := len(found) > pageItems
+	answer(w, map[string]any{"items": found[:min(len(found), pageItems)], "has_more": more, "store_revision": s.revision})
+}
+
+func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	after, e1 := strconv.ParseUint(q.Get("after"), 10, 64)
+	wait, e2 := strconv.Atoi(q.Get("wait_ms"))
+	if e1 != nil || e2 != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	limit := time.NewTimer(time.Duration(wait) * time.Millisecond)
+	defer limit.Stop()
+	for over := false; ; {
+		s.mu.Lock()
+		events, changed, status := s.since(q.Get("prefix"), after), s.changed, http.StatusOK
+		if after < s.kept {
+			status = http.StatusGone
+		}
+		if s.failing {
+			status = http.StatusServiceUnavailable
+		}
+		revision := s.revision
+		s.mu.Unlock()
+		if status != http.StatusOK {
+			w.WriteHeader(status)
+			return
+		}
+		if len(events) > 0 || over {
+			answer(w, map[string]any{"events": events, "store_revision": revision})
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			over = true
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) since(prefix string, after uint64) []item {
+	events := []item{}
+	for _, x := range s.history {
+		if x.Revision > after && strings.HasPrefix(x.Key, prefix) {
+			events = append(events, x)
+		}
+	}
+	return events
+}
+
+func (s *Store) serveTransaction(w http.ResponseWriter, r *http.Request) {
+	var t struct {
+		Precondition []item   `json:"precondition"`
+		Puts         []item   `json:"puts"`
+		Remove       []string `json:"remove"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range t.Precondition {
+		if s.items[p.Key].Revision != p.Revision {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+	}
+	for _, p := range t.Puts {
+		if _, ok := s.leases[p.Lease]; p.Lease != 0 && !ok {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		if strings.HasPrefix(p.Key, "op/") || strings.HasPrefix(p.Key, "servers/") {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+		s.put(p.Key, p.Value, p.Lease)
+	}
+	answer(w, map[string]uint64{"revision": s.revision})
+}
+
+func (s *Store) serveLease(w http.ResponseWriter, r *http.Request) {
+	var t struct {
+		TTL int64 `json:"ttl_ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&t); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := uint64(len(s.leases) + 1)
+	s.leases[id] = time.Duration(t.TTL) * time.Millisecond
+	answer(w, map[string]any{"lease": id, "ttl_ms": t.TTL})
+}
+
+func (s *Store) serveKeep(w http.ResponseWriter, r *http.Request) {
+	id, err := strconv.ParseUint(strings.TrimPrefix(r.URL.Path, "/kv-keep/"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ttl, ok := s.leases[id]
+	if err != nil || !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	answer(w, map[string]int64{"ttl_ms": ttl.Milliseconds()})
+}
