Trace a request from logs, and test the drivers

Cause: on-call engineers have logs and metrics alone; help ended with exit code 2 and printed twice. Change: cactuspin trace ID reads the hosts' logs and says what happened to a request; cactuspin entry asks a host; help and version end with 0 in every program.

--- a/cmd/cactuspind/main.go
+++ b/cmd/cactuspind/main.go
@@ -7,4 +7,4 @@
 	"github.com/cactuspin/cactuspin/internal/app/daemon"
 )
 
-func main() { os.Exit(daemon.Main(os.Args[1:], os.Stderr)) }
+func main() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/internal/app/daemon/daemon.go
+++ b/internal/app/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/app/parser"
 	"github.com/cactuspin/cactuspin/internal/server/provider"
 	"github.com/cactuspin/cactuspin/internal/server/runner"
 )
@@ -23,14 +24,19 @@
 
 // Main runs the daemon with the arguments and returns its exit code: 0 after a
 // planned stop, 1 after a failure, 2 for wrong settings.
-func Main(args []string, stderr io.Writer) int {
+func Main(args []string, stdout, stderr io.Writer) int {
 	a := kingpin.New("cactuspind", "Entry host of the cactuspin load balancer.")
 	a.Version(Build)
 	a.DefaultEnvars()
+	a.UsageWriter(stdout)
 	a.ErrorWriter(stderr)
 	s := &settings{}
 	s.register(a)
-	if _, err := a.Parse(args); err != nil {
+	_, done, err := parser.Parse(a, args)
+	if done {
+		return 0
+	}
+	if err != nil {
 		return complain(stderr, err)
 	}
 	c, err := s.check()
--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -12,6 +12,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/cactuspin/cactuspin/internal/app/parser"
 	"github.com/cactuspin/cactuspin/internal/entry/writer"
 	"github.com/cactuspin/cactuspin/platform"
 )
@@ -39,7 +40,11 @@
 	a.Flag("settings", "Settings file of the platform.").Envar(platform.SettingsVariable).Required().StringVar(&o.settings)
 	a.Flag("log-level", "Lowest level that is logged: debug, info, warn or error.").Default("info").EnumVar(&level, "debug", "info", "warn", "error")
 	a.Flag("metrics-port", "Port of the metrics, at the path /metrics; 0 for none.").Default("9464").Uint16Var(&o.metricsPort)
-	if _, err := a.Parse(args); err != nil {
+	_, done, err := parser.Parse(a, args)
+	if done {
+		return 0
+	}
+	if err != nil {
 		return complain(stderr, err)
 	}
 	if err := o.level.UnmarshalText([]byte(level)); err != nil {
@@ -70,8 +75,7 @@
 		logger.Info("host: stopped")
 	}
 	endLogging()
-	<-w.Done()
-	if err != nil {
+	if lost := <-w.Done(); err != nil || lost != nil {
 		return 1
 	}
 	return 0
--- /dev/null
+++ b/internal/app/entry/entry_test.go
@@ -0,0 +1,155 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cactuspin/cactuspin/internal/entry/writer"
+	"github.com/cactuspin/cactuspin/internal/standin/metastore"
+	"github.com/cactuspin/cactuspin/platform"
+)
+
+const (
+	eventually = 10 * time.Second
+	address    = "127.77.0.1"
+	file       = `ip: "127.77.0.1"
+node_name: "h"
+zone: "z"
+listen: {datagram_addr: "127.77.0.1:8172", ready_addr: "127.77.0.1:8167", control: "127.77.0.1:8166"}
+internal_ports: [7720, 7735]
+bounds: {config_apply_ms: 3000, drain_ms: 3000, grace_s: 6, flow_max_s: 60}
+platform: {address: "127.77.0.9:8169"}
+`
+	configuration = `{"version":7,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/443/","kind":"idempotent","timeout_ms":1500,"service":"s"}],"limits":{"idle_timeout_ms":15000}}`
+	registration  = `{"service":"s","address":"127.77.0.5:8080","zone":"z","slots":3,"state":"ready"}`
+)
+
+// serveStore serves a store with a route and a target.
+func serveStore(t *testing.T, g *WithT) *metastore.Store {
+	t.Helper()
+	s := metastore.New()
+	var n net.ListenConfig
+	l, err := n.Listen(context.Background(), "tcp4", "127.77.0.9:8169")
+	g.Expect(err).NotTo(HaveOccurred())
+	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return s
+}
+
+func get(path string) (string, error) {
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodGet, "http://"+path, nil)
+	if err != nil {
+		return "", err
+	}
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return "", err
+	}
+	b, err := io.ReadAll(a.Body)
+	_ = a.Body.Close()
+	return a.Status + " " + string(b), err
+}
+
+// TestAHostForwardsOverRealSockets starts a host beside stand-ins of the store, a
+// caller and a target.
+func TestAHostForwardsOverRealSockets(t *testing.T) {
+	g := NewWithT(t)
+	path := filepath.Join(t.TempDir(), "local.yaml")
+	g.Expect(os.WriteFile(path, []byte(file), 0o600)).To(Succeed())
+	store := serveStore(t, g)
+	settings, err := platform.LoadSettings(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	var log strings.Builder
+	w := writer.New(&log)
+	h, err := newHost(&options{metricsPort: 9464}, &settings, slog.New(slog.NewTextHandler(w, nil)), w)
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h.start(ctx)
+
+	g.Eventually(func() (string, error) { return get(address + ":8167/ready") }, eventually).Should(HavePrefix("503"))
+	store.Put("servers/i-0000000a", []byte(registration))
+	store.Put("op/config", []byte(configuration))
+	g.Eventually(func() (string, error) { return get(address + ":8167/ready") }, eventually).Should(HavePrefix("200"))
+
+	target, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.77.0.5:8080")))
+	g.Expect(err).NotTo(HaveOccurred())
+	caller, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.77.0.7:8172")))
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _, _ = target.Close(), caller.Close() })
+	syn := []byte{
+		0x01, 0xbb, 0x9c, 0x41, 127, 77, 0, 7, 198, 18, 0, 1, 1, 2, 3, 4,
+		0, 0, 0, 0, 4, 0, 0, 0x11, 0x22, 0x33, 0x44, 0, 0, 0, 0,
+	}
+	_, err = caller.WriteToUDPAddrPort(syn, netip.MustParseAddrPort(address+":8172"))
+	g.Expect(err).NotTo(HaveOccurred())
+	b := make([]byte, 2048)
+	g.Expect(target.SetReadDeadline(time.Now().Add(eventually))).To(Succeed())
+	n, _, err := target.ReadFromUDPAddrPort(b)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(b[:8]).To(Equal([]byte{0, 0, 0, 0, 0, 0, 0, 0xa}))
+	g.Expect(b[8:24]).To(Equal(syn[:16]), "only the cookie differs")
+	g.Expect(b[24:28]).NotTo(Equal(syn[16:20]))
+	g.Expect(b[28:n]).To(Equal(syn[20:]))
+
+	syn[0], syn[1] = 0, 9
+	for _, junk := range [][]byte{syn, {1}, make([]byte, 1400)} {
+		_, err = caller.WriteToUDPAddrPort(junk, netip.MustParseAddrPort(address+":8172"))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(caller.SetReadDeadline(time.Now().Add(eventually))).To(Succeed())
+	n, _, err = caller.ReadFromUDPAddrPort(b)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(n).To(Equal(31))
+	g.Expect(b[20]).To(Equal(byte(64)), "no route leads there")
+
+	text, err := get(address + ":8166" + statusPath)
+	g.Expect(err).NotTo(HaveOccurred())
+	var status hostStatus
+	g.Expect(json.Unmarshal([]byte(strings.TrimPrefix(text, "200 OK ")), &status)).To(Succeed())
+	g.Expect(status.Version).To(Equal(uint64(7)))
+	g.Expect(status.ByReason).To(HaveKeyWithValue("placed", uint64(1)))
+	g.Expect(get(address + ":8166" + explainPath + "?caller=127.77.0.7:40001&service=198.18.0.1:443")).To(ContainSubstring("i-0000000a"))
+	g.Expect(get(address + ":8166" + explainPath + "?caller=x")).To(HavePrefix("400"))
+	g.Eventually(func() (string, error) {
+		h.meter.Measure(40 * time.Millisecond)
+		return get(address + ":9464/metrics")
+	}, eventually).Should(And(ContainSubstring(`cactuspin_packets_total{reason="placed"} 1`), ContainSubstring("cactuspin_request_duration")))
+	g.Expect(get(address + ":7721/v1/knowledge?after=0")).To(HavePrefix("200"))
+	g.Expect(get(address + ":7721/v1/knowledge?after=x")).To(HavePrefix("400"))
+
+	h.reload(path)
+	g.Expect(os.WriteFile(path, []byte("ip: nobody\n"), 0o600)).To(Succeed())
+	h.reload(path)
+	g.Expect(w.Flush()).To(Succeed())
+	g.Expect(log.String()).To(And(ContainSubstring("settings reloaded"), ContainSubstring("settings not reloaded"),
+		ContainSubstring("flow: reset"), ContainSubstring("malformed packet"), ContainSubstring("routing in force")))
+	cancel()
+	g.Eventually(h.forwarder.Done(), eventually).Should(Receive())
+	g.Eventually(h.responder.Done(), eventually).Should(Receive())
+}
+
+func TestHelpAndWrongSettings(t *testing.T) {
+	g := NewWithT(t)
+	var out, faults strings.Builder
+	g.Expect(Main([]string{"--help"}, &out, &faults)).To(Equal(0))
+	g.Expect(out.String()).To(ContainSubstring("--log-level"))
+	g.Expect(faults.String()).To(BeEmpty())
+	path := filepath.Join(t.TempDir(), "local.yaml")
+	g.Expect(os.WriteFile(path, []byte("zone: z\n"), 0o600)).To(Succeed())
+	g.Expect(Main([]string{"--settings", path}, &out, &faults)).To(Equal(2))
+	g.Expect(faults.String()).To(And(ContainSubstring("ip:"), ContainSubstring("platform.address")))
+}
--- a/internal/app/operator/operator.go
+++ b/internal/app/operator/operator.go
@@ -11,9 +11,13 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/cactuspin/cactuspin/internal/app/parser"
 	"github.com/cactuspin/cactuspin/internal/server/platformer"
 )
 
+// Build is the version of the program; the linker sets it.
+var Build = "dev"
+
 // Exit codes of the client.
 const (
 	ExitDone     = 0
@@ -53,15 +57,18 @@
 	a.UsageWriter(out)
 	a.ErrorWriter(err)
 	a.DefaultEnvars()
-	a.Terminate(nil)
+	a.Version(Build)
 	commands := make(map[string]command)
 	for _, c := range []command{
 		&keyCommand{}, &checkCommand{}, &diffCommand{}, &signCommand{},
-		&applyCommand{}, &statusCommand{}, &explainCommand{},
+		&applyCommand{}, &statusCommand{}, &explainCommand{}, &traceCommand{}, &entryCommand{},
 	} {
 		commands[c.register(a).FullCommand()] = c
 	}
-	name, e := a.Parse(args)
+	name, done, e := parser.Parse(a, args)
+	if done {
+		return ExitDone
+	}
 	if e != nil {
 		_, _ = io.WriteString(err, "cactuspin: "+e.Error()+"\n")
 		return ExitUsage
--- /dev/null
+++ b/internal/app/operator/trace_command.go
@@ -0,0 +1,103 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/cactuspin/cactuspin/internal/diagnosis/tracer"
+)
+
+// traceCommand shows what happened to a request of the packet path.
+type traceCommand struct {
+	id    string
+	input io.Reader
+}
+
+func (k *traceCommand) register(a *kingpin.Application) *kingpin.CmdClause {
+	c := a.Command("trace", "Show from the hosts' logs on standard input what happened to a request.")
+	c.Arg("request", "The request's id.").Required().StringVar(&k.id)
+	k.input = os.Stdin
+	return c
+}
+
+func (k *traceCommand) run(_ context.Context, c console) error {
+	lines, err := tracer.Read(k.input)
+	if err != nil {
+		return err
+	}
+	r, err := tracer.Trace(lines, k.id)
+	if err != nil {
+		return err
+	}
+	show := func(title string, lines []tracer.Line) {
+		_, _ = fmt.Fprintln(c.out, title)
+		for _, l := range lines {
+			_, _ = fmt.Fprintln(c.out, "  "+l.Text)
+		}
+	}
+	show("The flow of the request:", r.Flow)
+	show("What hosts learned around it:", r.Beliefs)
+	_, _ = fmt.Fprintln(c.out, "What this shows:")
+	for _, x := range r.Conclusions {
+		_, _ = fmt.Fprintln(c.out, "  - "+x)
+	}
+	if len(r.Conclusions) == 0 {
+		_, _ = fmt.Fprintln(c.out, "  - the request was forwarded and answered, as far as hosts can see")
+	}
+	return nil
+}
+
+// entryCommand asks a host of the packet path.
+type entryCommand struct {
+	host            string
+	caller, service string
+}
+
+func (k *entryCommand) register(a *kingpin.Application) *kingpin.CmdClause {
+	c := a.Command("entry", "Show what a host of the packet path knows, or where it leads a flow.")
+	c.Arg("host", "IP:port where the host answers operators.").Required().StringVar(&k.host)
+	c.Flag("caller", "IP:port of the caller of a flow.").StringVar(&k.caller)
+	c.Flag("service", "IP:port that the caller reaches.").StringVar(&k.service)
+	return c
+}
+
+// Paths of a host's interface for operators.
+const (
+	entryStatusPath  = "/v1/entry/status"
+	entryExplainPath = "/v1/entry/explain"
+)
+
+func (k *entryCommand) run(ctx context.Context, c console) (err error) {
+	defer func() { err = errors.Wrap(err, "ask host") }()
+	u := url.URL{Scheme: "http", Host: k.host, Path: entryStatusPath}
+	if (k.caller == "") != (k.service == "") {
+		return errors.New("--caller and --service go together")
+	}
+	if k.caller != "" {
+		u.Path = entryExplainPath
+		u.RawQuery = url.Values{"caller": {k.caller}, "service": {k.service}}.Encode()
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer func() { err = errors.CombineErrors(err, a.Body.Close()) }()
+	if a.StatusCode != http.StatusOK {
+		return errors.Newf("host answered %s", a.Status)
+	}
+	_, err = io.Copy(c.out, a.Body)
+	return errors.WithStack(err)
+}
--- a/internal/app/standin/standin.go
+++ b/internal/app/standin/standin.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/app/parser"
 	"github.com/cactuspin/cactuspin/internal/server/platformer"
 	"github.com/cactuspin/cactuspin/internal/standin/loader"
 	"github.com/cactuspin/cactuspin/internal/standin/responder"
@@ -51,8 +52,11 @@
 	add(floods(a, out))
 	add(balance(a, out))
 	add(ends(a, out))
-	a.Terminate(nil)
-	name, err := a.Parse(args)
+	a.UsageWriter(out)
+	name, done, err := parser.Parse(a, args)
+	if done {
+		return 0
+	}
 	if err == nil && runs[name] != nil {
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 		defer stop()
--- a/internal/entry/engine/actions.go
+++ b/internal/entry/engine/actions.go
@@ -74,18 +74,24 @@
 func noteChange(c *keeper.Change, known keeper.Position, source string, out *Actions) {
 	from := []slog.Attr{slog.String("source", source), slog.Duration("age", known.Age)}
 	if r := c.Routing; r != nil {
-		out.note(slog.LevelInfo, "knowledge: routing in force", append([]slog.Attr{slog.Uint64("version", uint64(r.Version)),
-			slog.Uint64("revision", uint64(r.Revision)), slog.Int("routes", len(r.Routes))}, from...)...)
+		out.note(slog.LevelInfo, "knowledge: routing in force", append([]slog.Attr{
+			slog.Uint64("version", uint64(r.Version)),
+			slog.Uint64("revision", uint64(r.Revision)), slog.Int("routes", len(r.Routes)),
+		}, from...)...)
 	}
 	for i := range c.Targets {
 		t := &c.Targets[i]
-		out.note(slog.LevelInfo, "knowledge: target registered", append([]slog.Attr{slog.String("target", string(t.ID)),
+		out.note(slog.LevelInfo, "knowledge: target registered", append([]slog.Attr{
+			slog.String("target", string(t.ID)),
 			slog.String("service", string(t.Service)), slog.String("address", t.Address.String()), slog.String("zone", string(t.Zone)),
-			slog.String("state", t.State.String()), slog.Uint64("revision", uint64(t.Revision)), slog.Duration("warmup", t.Warmup)}, from...)...)
+			slog.String("state", t.State.String()), slog.Uint64("revision", uint64(t.Revision)), slog.Duration("warmup", t.Warmup),
+		}, from...)...)
 	}
 	for _, g := range c.Gone {
-		out.note(slog.LevelInfo, "knowledge: target gone", append([]slog.Attr{slog.String("target", string(g.ID)),
-			slog.Uint64("revision", uint64(g.Revision)), slog.Duration("hold", g.Hold)}, from...)...)
+		out.note(slog.LevelInfo, "knowledge: target gone", append([]slog.Attr{
+			slog.String("target", string(g.ID)),
+			slog.Uint64("revision", uint64(g.Revision)), slog.Duration("hold", g.Hold),
+		}, from...)...)
 	}
 }
 
--- a/internal/entry/meter/meter.go
+++ b/internal/entry/meter/meter.go
@@ -47,7 +47,7 @@
 func (m *Meter) Open() (err error) {
 	defer func() { err = errors.Wrap(err, "open meter") }()
 	registry := promclient.NewRegistry()
-	exporter, err := prometheus.New(prometheus.WithRegisterer(registry))
+	exporter, err := prometheus.New(prometheus.WithRegisterer(registry), prometheus.WithoutScopeInfo())
 	if err != nil {
 		return errors.WithStack(err)
 	}
--- a/internal/entry/reporter/reporter.go
+++ b/internal/entry/reporter/reporter.go
@@ -78,11 +78,12 @@
 
 func (r *Reporter) log(p *cactuspin.Packet, v *cactuspin.Verdict, b []byte) {
 	level, message := slog.LevelInfo, "flow: forwarded"
-	switch {
-	case v.Kind == cactuspin.VerdictReset:
+	switch v.Kind {
+	case cactuspin.VerdictReset:
 		level, message = slog.LevelWarn, "flow: reset"
-	case v.Kind == cactuspin.VerdictDrop:
+	case cactuspin.VerdictDrop:
 		level, message = slog.LevelWarn, "flow: dropped"
+	case cactuspin.VerdictForward:
 	}
 	attributes := make([]slog.Attr, 0, 12)
 	attributes = append(attributes, slog.String("reason", v.Reason.String()),
--- /dev/null
+++ b/internal/entry/reporter/reporter_test.go
@@ -0,0 +1,70 @@
+package reporter_test
+
+import (
+	"log/slog"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/entry/reporter"
+)
+
+const now = cactuspin.Time(1_000_000_000_000)
+
+// format finds an id in every packet.
+type format struct{ cactuspin.PacketFormat }
+
+func (format) RequestID([]byte) []byte { return []byte("id-7") }
+
+func packet(port int) *cactuspin.Packet {
+	return &cactuspin.Packet{
+		Caller:  netip.AddrPortFrom(netip.MustParseAddr("100.64.0.1"), uint16(port)),
+		Service: netip.MustParseAddrPort("198.18.0.1:443"), Length: 9,
+	}
+}
+
+func TestEachDecisionHasALine(t *testing.T) {
+	g := NewWithT(t)
+	var out strings.Builder
+	var measured []time.Duration
+	r := reporter.New(reporter.Config{
+		Logger: slog.New(slog.NewTextHandler(&out, nil)), Format: format{},
+		Measure: func(d time.Duration) { measured = append(measured, d) },
+	})
+	quiet := cactuspin.Verdict{Kind: cactuspin.VerdictForward, Answered: 40 * time.Millisecond}
+	r.Observe(now, packet(1), &quiet, nil)
+	g.Expect(out.String()).To(BeEmpty(), "packets that only move on are not logged")
+	g.Expect(measured).To(Equal([]time.Duration{40 * time.Millisecond}))
+	r.Observe(now, packet(1), &cactuspin.Verdict{Kind: cactuspin.VerdictForward, Request: true, Target: "i-1", Version: 7, Age: time.Second}, nil)
+	g.Expect(out.String()).To(And(ContainSubstring("flow: forwarded"), ContainSubstring("request=id-7"), ContainSubstring("caller=100.64.0.1:1"),
+		ContainSubstring("target=i-1"), ContainSubstring("version=7"), ContainSubstring("age=1s")))
+	r.Observe(now, packet(1), &cactuspin.Verdict{Kind: cactuspin.VerdictReset, Reason: cactuspin.ReasonTargetGone}, nil)
+	g.Expect(out.String()).To(ContainSubstring("reason=target_gone"))
+	r.Observe(now, packet(1), &cactuspin.Verdict{Reason: cactuspin.ReasonUnknownCookie}, nil)
+	g.Expect(out.String()).To(ContainSubstring("flow: dropped"))
+}
+
+func TestLinesAreBoundedAndFlowsAreWhole(t *testing.T) {
+	g := NewWithT(t)
+	var out strings.Builder
+	r := reporter.New(reporter.Config{Logger: slog.New(slog.NewTextHandler(&out, nil)), Format: format{}, Measure: func(time.Duration) {}})
+	v := cactuspin.Verdict{Kind: cactuspin.VerdictForward, Request: true}
+	for range 5 {
+		for port := range 2000 {
+			r.Observe(now, packet(port), &v, nil)
+		}
+	}
+	lines := strings.Count(out.String(), "\n")
+	g.Expect(lines).To(BeNumerically("<", 200+10000/8))
+	g.Expect(r.LeftOut()).To(Equal(uint64(10000 - lines)))
+	for port := 500; port < 2000; port++ {
+		n := strings.Count(out.String(), packet(port).Caller.String()+" ")
+		g.Expect(n).To(Or(Equal(0), Equal(5)), "a flow is logged whole or not at all")
+	}
+	r.Observe(now.Add(time.Second), packet(1), &v, nil)
+	g.Expect(out.String()).To(ContainSubstring("lines left out"))
+}
--- a/internal/entry/responder/responder.go
+++ b/internal/entry/responder/responder.go
@@ -36,7 +36,8 @@
 	defer func() { err = errors.Wrap(err, "new responder") }()
 	r = &Responder{done: make(chan error, 1)}
 	for a, h := range c.Handlers {
-		l, err := net.Listen("tcp4", a.String())
+		var n net.ListenConfig
+		l, err := n.Listen(context.Background(), "tcp4", a.String())
 		if err != nil {
 			return nil, errors.CombineErrors(errors.WithStack(err), r.close())
 		}
--- /dev/null
+++ b/internal/entry/writer/writer_test.go
@@ -0,0 +1,34 @@
+package writer_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/cactuspin/cactuspin/internal/entry/writer"
+)
+
+func TestWhoeverLogsNeverWaits(t *testing.T) {
+	g := NewWithT(t)
+	var out strings.Builder
+	w := writer.New(&out)
+	line := []byte(strings.Repeat("x", 1023) + "\n")
+	for range 3000 {
+		n, err := w.Write(line)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(n).To(Equal(len(line)))
+	}
+	g.Expect(w.Dropped()).To(Equal(uint64(3000 - 1024)))
+	g.Expect(w.Flush()).To(Succeed())
+	g.Expect(strings.Count(out.String(), "x\n")).To(Equal(1024))
+	g.Expect(out.String()).To(ContainSubstring("lines=1976"))
+	_, err := w.Write([]byte("later\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	w.Start(ctx)
+	cancel()
+	g.Expect(<-w.Done()).NotTo(HaveOccurred())
+	g.Expect(out.String()).To(HaveSuffix("later\n"), "what is queued at the end is written")
+}
--- a/internal/knowledge/keeper/keeper_test.go
+++ b/internal/knowledge/keeper/keeper_test.go
@@ -24,8 +24,10 @@
 // store's last fault.
 func loaded(g *WithT) *keeper.Keeper {
 	k := keeper.New()
-	_, ok := k.Merge(now, &cactuspin.Update{Full: true, Revision: 10, Settled: time.Minute, Routing: routing(3, 4),
-		Targets: []cactuspin.RegisteredTarget{target("a", 8, cactuspin.TargetReady), target("b", 9, cactuspin.TargetDraining)}})
+	_, ok := k.Merge(now, &cactuspin.Update{
+		Full: true, Revision: 10, Settled: time.Minute, Routing: routing(3, 4),
+		Targets: []cactuspin.RegisteredTarget{target("a", 8, cactuspin.TargetReady), target("b", 9, cactuspin.TargetDraining)},
+	})
 	g.Expect(ok).To(BeTrue())
 	return k
 }
@@ -33,8 +35,10 @@
 func TestOlderNewsChangesNothing(t *testing.T) {
 	g := NewWithT(t)
 	k := loaded(g)
-	c, ok := k.Merge(now, &cactuspin.Update{After: 5, Revision: 9, Routing: routing(2, 2),
-		Targets: []cactuspin.RegisteredTarget{target("b", 7, cactuspin.TargetReady)}, Gone: []cactuspin.GoneTarget{{ID: "a", Revision: 6}}})
+	c, ok := k.Merge(now, &cactuspin.Update{
+		After: 5, Revision: 9, Routing: routing(2, 2),
+		Targets: []cactuspin.RegisteredTarget{target("b", 7, cactuspin.TargetReady)}, Gone: []cactuspin.GoneTarget{{ID: "a", Revision: 6}},
+	})
 	g.Expect(ok).To(BeTrue())
 	g.Expect(c.Empty()).To(BeTrue())
 	g.Expect(k.Position(now).Revision).To(Equal(cactuspin.Revision(10)))
@@ -78,8 +82,10 @@
 func TestAFullUpdateEndsWhatItLacks(t *testing.T) {
 	g := NewWithT(t)
 	k := loaded(g)
-	c, _ := k.Merge(now, &cactuspin.Update{Full: true, Revision: 20, Routing: routing(3, 4),
-		Targets: []cactuspin.RegisteredTarget{target("b", 9, cactuspin.TargetDraining), target("c", 15, cactuspin.TargetReady)}})
+	c, _ := k.Merge(now, &cactuspin.Update{
+		Full: true, Revision: 20, Routing: routing(3, 4),
+		Targets: []cactuspin.RegisteredTarget{target("b", 9, cactuspin.TargetDraining), target("c", 15, cactuspin.TargetReady)},
+	})
 	g.Expect(c.Targets).To(HaveLen(1))
 	g.Expect(c.Gone).To(HaveLen(1))
 	g.Expect(c.Gone[0].ID).To(Equal(cactuspin.TargetID("a")))
--- a/internal/standin/packeteer/site.go
+++ b/internal/standin/packeteer/site.go
@@ -90,7 +90,8 @@
 	defer func() { err = errors.Wrap(err, "new site") }()
 	s = &Site{cfg: c, store: metastore.New(), judge: newJudge()}
 	s.routers = &routers{hosts: map[string][]*entryHost{}, client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
-	l, err := net.Listen("tcp4", c.StoreAddress.String())
+	var n net.ListenConfig
+	l, err := n.Listen(context.Background(), "tcp4", c.StoreAddress.String())
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
--- a/internal/standin/packeteer/target.go
+++ b/internal/standin/packeteer/target.go
@@ -57,7 +57,8 @@
 	if t.socket, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address)); err != nil {
 		return nil, errors.WithStack(err)
 	}
-	if t.probes, err = net.Listen("tcp4", address.String()); err != nil {
+	var n net.ListenConfig
+	if t.probes, err = n.Listen(context.Background(), "tcp4", address.String()); err != nil {
 		return nil, errors.WithStack(err)
 	}
 	t.register()
--- a/internal/steering/steerer/steerer_test.go
+++ b/internal/steering/steerer/steerer_test.go
@@ -63,8 +63,10 @@
 
 // data is request n of a flow, each of 50 bytes and answered by 400.
 func data(port int, service netip.AddrPort, cookie cactuspin.Cookie, n uint32) *cactuspin.Packet {
-	return &cactuspin.Packet{Caller: caller(port), Service: service, Flags: cactuspin.FlagACK, Cookie: cookie, Length: 50,
-		Sequence: 101 + 50*n, Acknowledgement: 1 + 400*n}
+	return &cactuspin.Packet{
+		Caller: caller(port), Service: service, Flags: cactuspin.FlagACK, Cookie: cookie, Length: 50,
+		Sequence: 101 + 50*n, Acknowledgement: 1 + 400*n,
+	}
 }
 
 func TestAnyHostFindsTheTargetOfAFlow(t *testing.T) {
