Tell packets out of order from repeats, and answers from silence

Requests whose answer took one packet, which callers do not acknowledge at once, counted as in progress and were logged as unanswered 1.5 s later. Ruled out: lost packets (callers repeat after 200 ms at the earliest). Change: a repeat comes 150 ms or more after the data before it; a request that was not repeated within 300 ms was answered.

--- a/internal/app/operator/trace_command.go
+++ b/internal/app/operator/trace_command.go
@@ -49,7 +49,7 @@
 		_, _ = fmt.Fprintln(c.out, "  - "+x)
 	}
 	if len(r.Conclusions) == 0 {
-		_, _ = fmt.Fprintln(c.out, "  - the request was forwarded and answered, as far as hosts can see")
+		_, _ = fmt.Fprintln(c.out, "  - no reset, repeated packet or time-out of this request is logged: no host saw it fail")
 	}
 	return nil
 }
--- a/internal/steering/steerer/flow.go
+++ b/internal/steering/steerer/flow.go
@@ -38,6 +38,10 @@
 	seen   cactuspin.Time
 	// requested is when the request in progress was sent, or 0.
 	requested cactuspin.Time
+	// dataAt is when the caller last sent data, repeats how often it has repeated
+	// the request in progress.
+	dataAt  cactuspin.Time
+	repeats uint8
 	// sent is the sequence number after the last data, acknowledged what the
 	// caller has received.
 	sent, acknowledged uint32
@@ -116,6 +120,18 @@
 	h.flows[keyOf(p)] = f
 }
 
+const (
+	// firstRepeat is when callers repeat data that was not acknowledged; the
+	// platform says so. Later repeats take twice as long each.
+	firstRepeat = 200 * time.Millisecond
+	// minRepeat is below that by the jitter of the links to callers.
+	minRepeat  = 150 * time.Millisecond
+	maxRepeats = 8
+	// sweptShards is how many shards a tick sweeps, so that all are swept within
+	// firstRepeat.
+	sweptShards = 4
+)
+
 // maxUnanswered bounds the requests that one sweep reports.
 const maxUnanswered = 16
 
@@ -136,6 +152,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for k, f := range h.flows {
+		if f.requested != 0 && f.answered(now) {
+			f.finish()
+		}
 		if f.requested != 0 && now.Sub(f.requested) > f.timeout {
 			if len(lost) < maxUnanswered {
 				lost = append(lost, Unanswered{Caller: k.caller.addrPort(), Service: k.service.addrPort(), Target: f.target.registered.ID, Waited: now.Sub(f.requested)})
@@ -177,18 +196,35 @@
 	}
 	end := p.Sequence + uint32(p.Length)
 	if int32(end-f.sent) <= 0 {
-		v.Repeat = true
-		f.target.health.miss(now, f.requested)
+		f.observeRepeat(now, v)
 		return
 	}
-	f.sent = end
+	f.sent, f.dataAt = end, now
 	if f.requested == 0 {
 		v.Request = true
-		f.requested = now
+		f.requested, f.repeats = now, 0
 		f.target.busy.Add(1)
 	}
 }
 
+// observeRepeat takes data that was sent before. Packets that overtook one
+// another on the way look the same, but come sooner than callers repeat.
+func (f *flow) observeRepeat(now cactuspin.Time, v *cactuspin.Verdict) {
+	if now.Sub(f.dataAt) < minRepeat {
+		return
+	}
+	v.Repeat = true
+	f.dataAt = now
+	f.repeats = min(f.repeats+1, maxRepeats)
+	f.target.health.miss(now, f.requested)
+}
+
+// answered tells whether the request in progress was answered without any
+// acknowledgement that this host saw: its caller would have repeated it.
+func (f *flow) answered(now cactuspin.Time) bool {
+	return f.repeats == 0 && now.Sub(f.dataAt) > firstRepeat+firstRepeat/2
+}
+
 // finish takes the end of the request in progress.
 func (f *flow) finish() {
 	if f.requested != 0 {
--- a/internal/steering/steerer/steerer.go
+++ b/internal/steering/steerer/steerer.go
@@ -135,7 +135,10 @@
 	if r := s.routes.Load(); r != nil && r.idle > 0 {
 		idle = r.idle
 	}
-	lost := s.flows.sweep(now, idle)
+	var lost []Unanswered
+	for range sweptShards {
+		lost = append(lost, s.flows.sweep(now, idle)...)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, t := range s.targets {
--- a/internal/steering/steerer/steerer_test.go
+++ b/internal/steering/steerer/steerer_test.go
@@ -271,6 +271,7 @@
 	next := s.Steer(now.Add(300*time.Millisecond), data(1, feeds, cookie, 1))
 	g.Expect(next.Answered).To(Equal(300 * time.Millisecond))
 	g.Expect(next.Request).To(BeTrue())
+	s.Steer(now.Add(500*time.Millisecond), data(1, feeds, cookie, 1))
 	var lost []steerer.Unanswered
 	for range 32 {
 		lost = append(lost, s.Tick(now.Add(2*time.Second))...)
@@ -280,6 +281,44 @@
 	g.Expect(s.Loads()[0].Flows).To(Equal(uint16(1)), "the flow itself lives")
 }
 
+func TestPacketsOutOfOrderAreNoRepeats(t *testing.T) {
+	g := NewWithT(t)
+	s := newSteerer(1, "a")
+	cookie := s.Steer(now, syn(1, orders, 0)).Cookie
+	handshake := data(1, orders, cookie, 0)
+	handshake.Length = 0
+	s.Steer(now, handshake)
+	second, first := data(1, orders, cookie, 1), data(1, orders, cookie, 0)
+	second.Acknowledgement = first.Acknowledgement
+	s.Steer(now.Add(time.Millisecond), second)
+	overtaken := s.Steer(now.Add(2*time.Millisecond), first)
+	g.Expect(overtaken.Repeat).To(BeFalse())
+	g.Expect(s.Probes(now.Add(time.Second))).To(BeEmpty(), "no evidence against the target")
+	repeated := s.Steer(now.Add(202*time.Millisecond), first)
+	g.Expect(repeated.Repeat).To(BeTrue())
+	g.Expect(s.Probes(now.Add(time.Second))).To(HaveLen(1))
+}
+
+func TestARequestThatIsNotRepeatedWasAnswered(t *testing.T) {
+	g := NewWithT(t)
+	s := newSteerer(1, "a")
+	cookie := s.Steer(now, syn(1, feeds, 0)).Cookie
+	s.Steer(now, data(1, feeds, cookie, 0))
+	s.Steer(now.Add(200*time.Millisecond), data(1, feeds, cookie, 0))
+	patient := s.Steer(now, syn(2, feeds, 0)).Cookie
+	s.Steer(now, data(2, feeds, patient, 0))
+	busy := func() (n uint16) {
+		for range 200 {
+			s.Tick(now.Add(400 * time.Millisecond))
+		}
+		for _, l := range s.Loads() {
+			n += l.Busy
+		}
+		return n
+	}
+	g.Expect(busy()).To(BeNumerically("~", encoder.BusyScale, 1), "the one whose caller waits")
+}
+
 func TestTheFlowTableIsBounded(t *testing.T) {
 	g := NewWithT(t)
 	s := newSteerer(1, "a")
