--- a/internal/diagnosis/tracer/tracer.go
+++ b/internal/diagnosis/tracer/tracer.go
@@ -167,20 +167,50 @@
 	if repeats > 0 {
 		add("the caller sent %d packets again: no answer came in 200 ms", repeats)
 	}
-	for i := range r.Beliefs {
-		l := &r.Beliefs[i]
-		switch {
-		case l.Message == "target: condition changed" && l.Fields["down"] == "true":
-			add("target %s was found dead at %s", l.Fields["target"], l.Fields["time"])
-		case l.Message == "knowledge: target gone":
-			add("the registration of target %s ended at %s", l.Fields["target"], l.Fields["time"])
-		case l.Message == "knowledge: target registered" && l.Fields["state"] == "draining":
-			add("target %s began to drain at %s", l.Fields["target"], l.Fields["time"])
-		}
+	for _, x := range news(r.Beliefs) {
+		add("%s (first seen at %s, by %d hosts or times)", x.text, x.first, x.times)
 	}
 	return unique(found)
 }
 
+// learned is something that hosts learned.
+type learned struct {
+	text, first string
+	times       int
+}
+
+// news gathers what hosts learned of targets, in order.
+func news(beliefs []Line) (all []learned) {
+	index := map[string]int{}
+	for i := range beliefs {
+		text := belief(&beliefs[i])
+		if text == "" {
+			continue
+		}
+		if _, known := index[text]; !known {
+			index[text] = len(all)
+			all = append(all, learned{text: text, first: beliefs[i].Fields["time"]})
+		}
+		all[index[text]].times++
+	}
+	return all
+}
+
+// belief says what a line tells of a target, or nothing.
+func belief(l *Line) string {
+	target := l.Fields["target"]
+	switch {
+	case l.Message == "target: condition changed" && l.Fields["down"] == "true":
+		return "target " + target + " was found dead"
+	case l.Message == "knowledge: target gone":
+		return "the registration of target " + target + " ended"
+	case l.Message == "knowledge: target registered" && l.Fields["state"] == "draining":
+		return "target " + target + " began to drain"
+	default:
+		return ""
+	}
+}
+
 func unique(all []string) (once []string) {
 	seen := map[string]bool{}
 	for _, x := range all {
