Work out the capacity of the packet path from measured slopes

Cause: docs/CAPACITY.md knew the request path only. Change: benchmarks of knowledge by size and of control by hosts, on the virtual clock; what breaks first on the way to 17,000 hosts and what carries it.

--- a/internal/standin/simulator/host.go
+++ b/internal/standin/simulator/host.go
@@ -6,6 +6,7 @@
 
 	"github.com/cactuspin/cactuspin"
 	"github.com/cactuspin/cactuspin/internal/entry/engine"
+	"github.com/cactuspin/cactuspin/internal/knowledge/encoder"
 )
 
 const (
@@ -87,6 +88,9 @@
 		h.sim.trace("host %d: %s %v", h.index, n.Message, n.Attributes)
 	}
 	for _, s := range out.Sends {
+		if b, err := encoder.Encode(&s.Datagram); err == nil {
+			h.sim.oracle.peerBytes += len(b) * len(s.To)
+		}
 		for _, a := range s.To {
 			if p := h.sim.hostAt(a); p != nil {
 				d := s.Datagram
--- a/internal/standin/simulator/oracle.go
+++ b/internal/standin/simulator/oracle.go
@@ -15,6 +15,8 @@
 	Broken []string
 	// Calls counts the calls of the store.
 	Calls int
+	// PeerBytes counts what hosts sent to each other in datagrams.
+	PeerBytes int
 }
 
 // oracle sees what callers, targets and the operator see.
@@ -24,7 +26,9 @@
 	served int
 	failed int
 	calls  int
-	broken []string
+	// peerBytes counts what hosts sent to each other.
+	peerBytes int
+	broken    []string
 	// runs counts how often each request ran.
 	runs map[string]int
 	// calmFrom is when hosts, targets and the store are calm again.
@@ -200,5 +204,5 @@
 	if o.afterAsked > 0 && 4*o.afterServed < o.afterAsked {
 		o.breaks("RECOVER", "%d of %d requests served after all hosts were killed", o.afterServed, o.afterAsked)
 	}
-	return Result{Asked: o.asks, Served: o.served, Failed: o.failed, Broken: o.broken, Calls: o.calls}
+	return Result{Asked: o.asks, Served: o.served, Failed: o.failed, Broken: o.broken, Calls: o.calls, PeerBytes: o.peerBytes}
 }
--- /dev/null
+++ b/internal/standin/simulator/simulator_benchmark_test.go
@@ -0,0 +1,36 @@
+package simulator_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cactuspin/cactuspin/internal/standin/simulator"
+)
+
+// BenchmarkControl measures what hosts spend on knowledge on a calm day: calls of
+// the store for the start of all and each second afterwards, and bytes to peers a
+// host and second.
+func BenchmarkControl(b *testing.B) {
+	for _, n := range []int{2, 10, 33, 100} {
+		b.Run(fmt.Sprintf("hosts=%d", 3*n), func(b *testing.B) {
+			for b.Loop() {
+				short, long := calmDay(b, n, 10*time.Second), calmDay(b, n, 20*time.Second)
+				calls, bytes := float64(long.Calls-short.Calls)/10, float64(long.PeerBytes-short.PeerBytes)/10
+				b.ReportMetric(calls, "calls/s")
+				b.ReportMetric(float64(short.Calls)-10*calls, "calls/start")
+				b.ReportMetric(bytes/float64(3*n), "B/s/host")
+			}
+		})
+	}
+}
+
+func calmDay(b *testing.B, hosts int, length time.Duration) simulator.Result {
+	b.Helper()
+	s, err := simulator.Parse([]byte("callers_per_zone: 24"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	s.HostsPerZone, s.Length = hosts, simulator.Duration{Duration: length}
+	return simulator.New(s, 1).Run()
+}
--- a/internal/steering/steerer/steerer_benchmark_test.go
+++ b/internal/steering/steerer/steerer_benchmark_test.go
@@ -84,3 +84,42 @@
 		runtime.KeepAlive(s)
 	}
 }
+
+// BenchmarkKnowledgeMemory measures the memory of all targets and routes.
+func BenchmarkKnowledgeMemory(b *testing.B) {
+	for _, n := range []struct{ targets, addresses int }{{150, 243}, {14_000, 2_200}, {140_000, 22_000}} {
+		b.Run(fmt.Sprintf("targets=%d", n.targets), func(b *testing.B) {
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				s := newSized(n.targets, n.addresses)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(n.targets), "B/target")
+				runtime.KeepAlive(s)
+			}
+		})
+	}
+}
+
+// BenchmarkApply measures the change of one target.
+func BenchmarkApply(b *testing.B) {
+	sizes(b, func(b *testing.B, s *steerer.Steerer) {
+		t := registered(1, "s0", "a")
+		for b.Loop() {
+			t.Revision++
+			s.Apply(now, &keeper.Change{Targets: []cactuspin.RegisteredTarget{t}})
+		}
+	})
+}
+
+// BenchmarkTick measures what passing time costs with targets and no flows.
+func BenchmarkTick(b *testing.B) {
+	sizes(b, func(b *testing.B, s *steerer.Steerer) {
+		for b.Loop() {
+			s.Tick(now)
+			s.Probes(now)
+		}
+	})
+}
