Let time pass only for targets that a host sends flows to

Cause: a tick took 0.22 us for each registered target, 31 ms at 140,000: 62 % of a core, where 4.7 % are allowed for control. Change: a set of active targets, with flows, load or suspicion, is what ticks, probes and beacons walk. Ruled out: fewer ticks, since a change of readers waits for them.

--- a/internal/steering/steerer/health.go
+++ b/internal/steering/steerer/health.go
@@ -111,6 +111,13 @@
 	return h.condition == down || (h.condition == suspect && now.Sub(h.missed) < suspicionTime)
 }
 
+// settled tells whether nothing speaks against the target's life.
+func (h *health) settled() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.condition == healthy
+}
+
 func (h *health) isDown() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -127,8 +134,8 @@
 func (s *Steerer) Probes(now cactuspin.Time) (due []Probe) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	for _, t := range s.targets {
-		if t.health.probe(now) {
+	for _, t := range s.active.list() {
+		if t.goneAt == 0 && t.health.probe(now) {
 			due = append(due, Probe{Target: t.registered.ID, Address: t.registered.Address})
 		}
 	}
@@ -148,6 +155,7 @@
 		// A cut-off zone shows first at one of its targets.
 		for _, x := range t.service.zone(t.registered.Zone).targets {
 			x.health.doubt(now, began)
+			s.active.add(x)
 		}
 	}
 	return true
--- a/internal/steering/steerer/steerer.go
+++ b/internal/steering/steerer/steerer.go
@@ -43,6 +43,7 @@
 	services map[cactuspin.ServiceName]*service
 	targets  map[cactuspin.TargetID]*target
 	gone     []*target
+	active   activeSet
 	flows    flowTable
 	// confirmed and settled are moments of the knowledge that is in use.
 	confirmed atomic.Int64
@@ -141,9 +142,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, t := range s.targets {
-		t.meanBusy += (float64(t.busy.Load()) - t.meanBusy) * busyWeight
-	}
+	s.active.tick(now)
 	for len(s.gone) > 0 && now.Sub(s.gone[0].goneAt) > goneMemory {
 		t := s.gone[0]
 		s.gone = s.gone[1:]
@@ -207,6 +206,7 @@
 		}
 		return s.refuse(now, p, v, cactuspin.ReasonUnknownCookie)
 	}
+	s.active.add(t)
 	f := h.touch(now, p, t, route.Timeout)
 	f.observe(now, p, &v)
 	if t.ended(now) {
@@ -255,6 +255,7 @@
 	if t == nil {
 		return s.refuse(now, p, v, cactuspin.ReasonNoTarget)
 	}
+	s.active.add(t)
 	h.open(now, p, t, route.Timeout)
 	v.Kind, v.Cookie = cactuspin.VerdictForward, t.cookie
 	t.fill(&v)
@@ -313,9 +314,9 @@
 func (s *Steerer) Loads() (loads encoder.Loads) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, t := range s.targets {
+	for _, t := range s.active.list() {
 		flows, busy := t.flows.Load(), t.meanBusy
-		if flows > 0 || busy > 0 {
+		if t.goneAt == 0 && (flows > 0 || busy > 0) {
 			loads = append(loads, encoder.TargetLoad{Cookie: t.cookie, Flows: uint16(max(0, flows)), Busy: uint16(busy * encoder.BusyScale)})
 		}
 	}
@@ -330,7 +331,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, v := range s.services {
+	for v := range s.active.services() {
 		v.measure(byCookie)
 	}
 }
@@ -359,9 +360,9 @@
 func (s *Steerer) Down() (down []cactuspin.TargetID) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	for id, t := range s.targets {
-		if t.health.isDown() {
-			down = append(down, id)
+	for _, t := range s.active.list() {
+		if t.goneAt == 0 && t.health.isDown() {
+			down = append(down, t.registered.ID)
 		}
 	}
 	slices.Sort(down)
--- a/internal/steering/steerer/target.go
+++ b/internal/steering/steerer/target.go
@@ -30,6 +30,8 @@
 	// meanBusy is the running mean of busy over some ten ticks.
 	meanBusy float64
 	health   health
+	// active says that the target is in the set of active ones.
+	active atomic.Bool
 }
 
 func newTarget(now cactuspin.Time, r *cactuspin.RegisteredTarget, v *service) *target {
