--- a/internal/standin/packeteer/site.go
+++ b/internal/standin/packeteer/site.go
@@ -56,6 +56,8 @@
 // Config says what a site has.
 type Config struct {
 	Zones, HostsPerZone, TargetsPerZone, CallersPerZone int
+	// Network keeps the addresses of sites on one machine apart: 0 to 40.
+	Network int
 	// Directory takes the settings files of the hosts, host-N.yaml.
 	Directory string
 	// Length is how long callers ask; a target drains after a third of it.
@@ -81,8 +83,8 @@
 const calmTime = 4 * time.Second
 
 // loopback returns the address of thing n of a kind in a zone.
-func loopback(kind, zone, n int) netip.Addr {
-	return netip.AddrFrom4([4]byte{127, byte(kind), byte(zone + 1), byte(n + 1)})
+func (c *Config) loopback(kind, zone, n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(kind + kinds*c.Network), byte(zone + 1), byte(n + 1)})
 }
 
 // Kinds of things, in their addresses.
@@ -90,6 +92,7 @@
 	kindHosts = iota + 101
 	kindTargets
 	kindCallers
+	kinds = 3
 )
 
 // New opens a site and writes the hosts' settings.
@@ -140,13 +143,13 @@
 func (s *Site) writeSettings(store string) error {
 	var seeds []string
 	for z := range s.cfg.Zones {
-		seeds = append(seeds, fmt.Sprintf("%q", netip.AddrPortFrom(loopback(kindHosts, z, 0), controlPort)))
+		seeds = append(seeds, fmt.Sprintf("%q", netip.AddrPortFrom(s.cfg.loopback(kindHosts, z, 0), controlPort)))
 	}
 	n := 0
 	for z := range s.cfg.Zones {
 		for i := range s.cfg.HostsPerZone {
 			n++
-			a := loopback(kindHosts, z, i)
+			a := s.cfg.loopback(kindHosts, z, i)
 			text := fmt.Sprintf(settingsFormat, n, a, zoneName(z), packetPort, readyPort, controlPort, firstInner, lastInner, strings.Join(seeds, ", "), store)
 			if err := os.WriteFile(filepath.Join(s.cfg.Directory, fmt.Sprintf("host-%d.yaml", n)), []byte(text), 0o600); err != nil {
 				return errors.WithStack(err)
@@ -165,7 +168,7 @@
 		if i == s.cfg.TargetsPerZone {
 			service = serviceShelf
 		}
-		a := netip.AddrPortFrom(loopback(kindTargets, z, i), targetPort)
+		a := netip.AddrPortFrom(s.cfg.loopback(kindTargets, z, i), targetPort)
 		t, err := newTarget(uint64(0xa0000000+z*256+i), service, zoneName(z), a, packetPort, s.store, s.judge)
 		if err != nil {
 			return err
@@ -173,7 +176,7 @@
 		s.targets = append(s.targets, t)
 	}
 	for i := range s.cfg.CallersPerZone {
-		c := &caller{zone: zoneName(z), address: loopback(kindCallers, z, i), routers: s.routers, judge: s.judge}
+		c := &caller{zone: zoneName(z), address: s.cfg.loopback(kindCallers, z, i), routers: s.routers, judge: s.judge}
 		c.port.Store(firstPort)
 		switch i % 3 {
 		case 0:
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -25,12 +25,13 @@
 
 // The short run of make test, and what make soak sets in the environment.
 const (
-	shortSeconds  = 8
-	defaultHosts  = 2
-	startLimit    = 30 * time.Second
-	recoverLimit  = 30 * time.Second
-	storeHost     = "127.100.0.8:8169"
-	proxyHost     = "127.100.0.9:8169"
+	shortSeconds = 8
+	defaultHosts = 2
+	startLimit   = 30 * time.Second
+	recoverLimit = 30 * time.Second
+	// maxNetworks is how many soaks can run at once on one machine.
+	maxNetworks   = 30
+	storePort     = 8169
 	leastDraining = 4
 )
 
@@ -89,13 +90,19 @@
 }
 
 func (s *soak) open(ctx context.Context, program, directory string, hosts int, length time.Duration) {
-	store, seen := netip.MustParseAddrPort(storeHost), netip.MustParseAddrPort(proxyHost)
+	at := func(network, n int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 100, byte(network), byte(n)}), storePort)
+	}
+	network := 1
 	var err error
-	if s.proxy, err = newProxy(ctx, seen, store); err != nil {
-		s.t.Fatal(err)
+	for s.proxy, err = newProxy(ctx, at(network, 9), at(network, 8)); err != nil; s.proxy, err = newProxy(ctx, at(network, 9), at(network, 8)) {
+		if network++; network > maxNetworks {
+			s.t.Fatal(err)
+		}
 	}
+	store, seen := at(network, 8), at(network, 9)
 	s.site, err = packeteer.New(packeteer.Config{
-		Zones: 3, HostsPerZone: hosts, TargetsPerZone: 4, CallersPerZone: 15, Directory: directory, Length: length, StoreAddress: store, StoreSeen: seen,
+		Network: network, Zones: 3, HostsPerZone: hosts, TargetsPerZone: 4, CallersPerZone: 15, Directory: directory, Length: length, StoreAddress: store, StoreSeen: seen,
 	})
 	if err != nil {
 		s.t.Fatal(err)
