Keep a flow where it opened when two targets answer its first packet

Cause: a new story, targets that take everything 300 ms late, so that the copy of a first packet goes to another target and both answer. The caller's packets then carry the cookie that came last, and went to a target that does not hold the flow. Change: a host that saw a flow open steers by that and not by a later cookie. A unit test failed before. The model's targets hold only flows that opened at them. Ruled out: copies to the same target always; dead targets would then cost 1.4 s.

--- a/internal/standin/simulator/caller.go
+++ b/internal/standin/simulator/caller.go
@@ -54,7 +54,9 @@
 	ended    bool
 	sequence uint32
 	received uint32
-	current  *request
+	// strayed counts packets that reached another target.
+	strayed int
+	current *request
 }
 
 func (c *caller) loop() {
@@ -201,9 +203,6 @@
 	if h != nil {
 		c.caller.sim.oracle.reset(h, c, why)
 	}
-	if t != nil && c.opened && t != c.target {
-		return
-	}
 	c.fail()
 }
 
--- a/internal/standin/simulator/oracle.go
+++ b/internal/standin/simulator/oracle.go
@@ -154,8 +154,15 @@
 	return false
 }
 
-// strayed notes a packet at an address that another target has taken over.
-func (o *oracle) strayed(*connection) {}
+// strayed notes that a target gets data of a flow that is open elsewhere.
+func (o *oracle) strayed(c *connection) {
+	if c.target == nil || !c.target.alive {
+		return
+	}
+	if c.strayed++; c.strayed >= 3 {
+		o.breaks("FLOW", "packets of a flow at target %s go elsewhere", c.target.entry.ID)
+	}
+}
 
 // ran notes that a target begins to work on a request.
 func (o *oracle) ran(t *target, r *request) {
--- a/internal/standin/simulator/strikes.go
+++ b/internal/standin/simulator/strikes.go
@@ -137,6 +137,7 @@
 		"target_restart":   func(f *Fault) { s.eachTarget(f, s.restartTarget) },
 		"target_reuse":     func(f *Fault) { s.eachTarget(f, s.reuseTarget) },
 		"target_add":       func(f *Fault) { s.eachTarget(f, s.addBeside) },
+		"target_stall":     func(f *Fault) { s.eachTarget(f, func(t *target) { s.stallTarget(t, f) }) },
 		"target_store_cut": func(f *Fault) { s.eachTarget(f, s.lapseTarget) },
 	}
 }
@@ -267,6 +268,17 @@
 	})
 }
 
+// stallTarget makes a target take everything late, so that copies of first
+// packets are sent while it answers the first.
+func (s *Simulation) stallTarget(t *target, f *Fault) {
+	t.stall = 300 * time.Millisecond
+	s.oracle.disturb(t)
+	s.after(f.For.Duration, func() {
+		t.stall = 0
+		s.oracle.disturb(t)
+	})
+}
+
 // restartTarget crashes a target that starts again under its id.
 func (s *Simulation) restartTarget(t *target) {
 	t.crash()
--- a/internal/standin/simulator/target.go
+++ b/internal/standin/simulator/target.go
@@ -24,6 +24,8 @@
 	flows          map[*connection]bool
 	busy           int
 	queue          []func()
+	// stall delays all that reaches the target.
+	stall time.Duration
 	// drainAt is when the store acknowledged that the target drains or is gone.
 	drainAt cactuspin.Time
 }
@@ -49,7 +51,10 @@
 
 // request takes a request; copies of one that is held are ignored.
 func (t *target) request(c *connection, r *request) {
-	if !t.flows[c] {
+	// A target that did not open the flow does not hold it, though it answered a
+	// copy of the first packet.
+	if !t.flows[c] || c.target != t {
+		t.sim.oracle.strayed(c)
 		t.sim.after(t.sim.callerWay(), func() { c.reset(nil, t, 0) })
 		return
 	}
@@ -152,24 +157,28 @@
 			continue
 		}
 		s.carry(&h.place, &t.place, func() {
-			if !t.alive {
-				return
-			}
-			if t.entry.Number != v.Number {
-				s.oracle.strayed(c)
-				return
-			}
-			s.oracle.arrived(h, t, c, &copied)
-			switch {
-			case copied.Flags == cactuspin.FlagSYN:
-				t.syn(c, copied.Cookie)
-			case copied.Length > 0:
-				t.request(c, r)
-			}
+			s.after(t.stall, func() { t.take(h, c, &copied, v.Number, r) })
 		})
 	}
 }
 
+// take takes a packet that a host forwarded.
+func (t *target) take(h *host, c *connection, p *cactuspin.Packet, number uint64, r *request) {
+	if !t.alive {
+		return
+	}
+	if t.entry.Number != number {
+		return
+	}
+	t.sim.oracle.arrived(h, t, c, p)
+	switch {
+	case p.Flags == cactuspin.FlagSYN:
+		t.syn(c, p.Cookie)
+	case p.Length > 0:
+		t.request(c, r)
+	}
+}
+
 // probe tells whether an address takes a connection from a host, and how long
 // that takes.
 func (s *Simulation) probe(h *host, a netip.AddrPort) (answered bool, took time.Duration) {
--- a/internal/steering/steerer/flow.go
+++ b/internal/steering/steerer/flow.go
@@ -92,6 +92,17 @@
 	f.seen, f.opened, f.sent = now, false, p.Sequence+1
 }
 
+// opened returns the target at which the flow of a packet opened, or nil if this
+// host has not seen that. If two targets answer the copies of a first packet, the
+// caller's packets carry the cookie that came last, while the flow is open where
+// the answer came first.
+func (h *flowShard) opened(p *cactuspin.Packet) *target {
+	if f := h.flows[keyOf(p)]; f != nil && f.opened {
+		return f.target
+	}
+	return nil
+}
+
 // touch returns the flow of a packet that goes to t.
 func (h *flowShard) touch(now cactuspin.Time, p *cactuspin.Packet, t *target, timeout time.Duration) *flow {
 	f := h.flows[keyOf(p)]
--- a/internal/steering/steerer/steerer.go
+++ b/internal/steering/steerer/steerer.go
@@ -198,7 +198,10 @@
 func (s *Steerer) follow(now cactuspin.Time, p *cactuspin.Packet, h *flowShard, route *cactuspin.Route, v cactuspin.Verdict) cactuspin.Verdict {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	t := s.find(route, p.Cookie)
+	t := h.opened(p)
+	if t == nil || t.ended(now) {
+		t = s.find(route, p.Cookie)
+	}
 	if t == nil {
 		if now.Sub(cactuspin.Time(s.settled.Load())) < settleTime {
 			v.Reason = cactuspin.ReasonUnknownCookie
--- a/internal/steering/steerer/steerer_test.go
+++ b/internal/steering/steerer/steerer_test.go
@@ -281,6 +281,20 @@
 	g.Expect(s.Loads()[0].Flows).To(Equal(uint16(1)), "the flow itself lives")
 }
 
+func TestAFlowStaysWhereItOpenedThoughACopyIsAnsweredToo(t *testing.T) {
+	g := NewWithT(t)
+	s := newSteerer(1, "a")
+	first, second := silent(s, 1)
+	g.Expect(second.Target).NotTo(Equal(first.Target))
+	at := now.Add(300 * time.Millisecond)
+	g.Expect(s.Steer(at, data(1, feeds, first.Cookie, 0)).Target).To(Equal(first.Target), "the caller took the first answer")
+	later := s.Steer(at.Add(time.Second), data(1, feeds, second.Cookie, 1))
+	g.Expect(later.Target).To(Equal(first.Target), "the second answer brought another cookie")
+	s.Steer(at.Add(2*time.Second), syn(1, feeds, 0))
+	again := s.Steer(at.Add(2*time.Second), data(1, feeds, second.Cookie, 0))
+	g.Expect(again.Target).To(Equal(second.Target), "a new flow from the same port")
+}
+
 func TestPacketsOutOfOrderAreNoRepeats(t *testing.T) {
 	g := NewWithT(t)
 	s := newSteerer(1, "a")
