Catch signals before anything else

Signals were caught after the settings were read and the sockets opened; on a small host that is 0.2 s after the start. Ruled out: load; the log of the host ends at a start and the process with 'signal: hangup'. Change: signals are caught first.

--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -30,6 +30,8 @@
 // Main runs the host with the arguments and returns its exit code: 0 after a
 // planned stop or a request for help, 1 after a failure, 2 for wrong settings.
 func Main(args []string, stdout, stderr io.Writer) int {
+	// First of all: a signal that is not caught yet ends the process.
+	signals := catchSignals()
 	a := kingpin.New("cactuspin-entry", "Entry host of cactuspin's packet path.")
 	a.Version(Build)
 	a.DefaultEnvars()
@@ -54,7 +56,20 @@
 	if err != nil {
 		return complain(stderr, err)
 	}
-	return run(&o, &s, stdout)
+	return run(&o, &s, signals, stdout)
+}
+
+// signals are what the platform tells the process.
+type signals struct {
+	// stop asks for a planned stop, reload says that the settings have changed.
+	stop, reload chan os.Signal
+}
+
+func catchSignals() (s signals) {
+	s.stop, s.reload = make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
 }
 
 func complain(w io.Writer, err error) int {
@@ -63,12 +78,12 @@
 }
 
 // run serves until SIGTERM or SIGINT and the planned stop after it.
-func run(o *options, s *platform.Settings, stdout io.Writer) int {
+func run(o *options, s *platform.Settings, signals signals, stdout io.Writer) int {
 	w := writer.New(stdout)
 	logger := slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: o.level}))
 	logging, endLogging := context.WithCancel(context.Background())
 	w.Start(logging)
-	err := serve(o, s, logger, w)
+	err := serve(o, s, signals, logger, w)
 	if err != nil {
 		logger.Error("host: failed", slog.Any("error", err))
 	} else {
@@ -81,24 +96,21 @@
 	return 0
 }
 
-func serve(o *options, s *platform.Settings, logger *slog.Logger, w *writer.Writer) (err error) {
+func serve(o *options, s *platform.Settings, signals signals, logger *slog.Logger, w *writer.Writer) (err error) {
 	defer func() { err = errors.Wrap(err, "entry host") }()
 	h, err := newHost(o, s, logger, w)
 	if err != nil {
 		return err
 	}
-	stop, reload := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(reload, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	h.start(ctx)
 	logger.Info("host: started", slog.String("host", s.Name), slog.String("zone", string(s.Zone)), slog.String("packets", s.Packets.String()), slog.String("build", Build))
 	for {
 		select {
-		case <-reload:
+		case <-signals.reload:
 			h.reload(o.settings)
-		case <-stop:
+		case <-signals.stop:
 			h.drain()
 			return nil
 		case err := <-h.forwarder.Done():
