Give each soak a network that no host uses

Cause: three soaks by hand failed at once with 'hosts are not ready': five hosts of a soak that was ended from outside still held the addresses. The logs of the new hosts say 'address already in use'. Ruled out: the start of hosts; they were the same ones that ran before. Change: a soak looks whether the hosts' addresses are free.

--- a/internal/standin/packeteer/site.go
+++ b/internal/standin/packeteer/site.go
@@ -95,6 +95,20 @@
 	kinds = 3
 )
 
+// Free tells whether no process of another site uses the hosts' addresses.
+func (c *Config) Free() bool {
+	for z := range c.Zones {
+		for i := range c.HostsPerZone {
+			a := netip.AddrPortFrom(c.loopback(kindHosts, z, i), packetPort)
+			l, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+			if err != nil || l.Close() != nil {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // New opens a site and writes the hosts' settings.
 func New(c Config) (s *Site, err error) {
 	defer func() { err = errors.Wrap(err, "new site") }()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -93,18 +93,19 @@
 	at := func(network, n int) netip.AddrPort {
 		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 100, byte(network), byte(n)}), storePort)
 	}
-	network := 1
+	c := packeteer.Config{Zones: 3, HostsPerZone: hosts, TargetsPerZone: 4, CallersPerZone: 15, Directory: directory, Length: length}
 	var err error
-	for s.proxy, err = newProxy(ctx, at(network, 9), at(network, 8)); err != nil; s.proxy, err = newProxy(ctx, at(network, 9), at(network, 8)) {
-		if network++; network > maxNetworks {
-			s.t.Fatal(err)
+	for c.Network = 1; s.proxy == nil; c.Network++ {
+		if c.Network > maxNetworks {
+			s.t.Fatalf("no free network: %v", err)
+		}
+		c.StoreAddress, c.StoreSeen = at(c.Network, 8), at(c.Network, 9)
+		if c.Free() {
+			s.proxy, err = newProxy(ctx, c.StoreSeen, c.StoreAddress)
 		}
 	}
-	store, seen := at(network, 8), at(network, 9)
-	s.site, err = packeteer.New(packeteer.Config{
-		Network: network, Zones: 3, HostsPerZone: hosts, TargetsPerZone: 4, CallersPerZone: 15, Directory: directory, Length: length, StoreAddress: store, StoreSeen: seen,
-	})
-	if err != nil {
+	c.Network--
+	if s.site, err = packeteer.New(c); err != nil {
 		s.t.Fatal(err)
 	}
 	for n := range 3 * hosts {
