Read the store page by page, and let few hosts read all of it

Peers' whole updates fail the same way, by 400 ms. Each new try fills the link of the store again. Ruled out: the store's rate limit (no 429 in the logs); routers; processor time of steering. Change: a read is made of pages, each with its own time-out and asked for again alone. Past the first page, which lists the hosts, only the first three of a zone read on; others ask those and two by chance for it, and read themselves if nobody has given it. A host sends three whole updates at a time; who is declined asks others. Hosts that were announced count as alive to a host that starts, so that not all count themselves first. Also: the simulator multiplied held packets while a host was loading.

--- a/internal/entry/engine/actions.go
+++ b/internal/entry/engine/actions.go
@@ -15,8 +15,10 @@
 // StoreCall asks the driver for a call of the store, answered by
 // Engine.StoreAnswered. There is one at a time.
 type StoreCall struct {
-	// All asks for a read of everything; else changes after After are watched.
+	// All asks for a page of everything, from From on; else changes after After
+	// are watched.
 	All   bool
+	From  cactuspin.Cursor
 	After cactuspin.Revision
 	Wait  time.Duration
 	// Asked is when the call was made.
--- a/internal/entry/engine/engine.go
+++ b/internal/entry/engine/engine.go
@@ -61,7 +61,9 @@
 	reading  bool
 	leaving  bool
 	fetching bool
-	store    storeState
+	// supplying is how many whole updates are being sent to peers.
+	supplying int
+	store     storeState
 }
 
 // New returns an engine that knows nothing yet.
@@ -108,7 +110,7 @@
 			slog.String("service", u.Service.String()), slog.String("target", string(u.Target)), slog.Duration("waited", u.Waited))
 	}
 	out.Probes = append(out.Probes, e.steerer.Probes(now)...)
-	plan := e.planner.Tick(now, known)
+	plan := e.planner.Tick(now, known, e.store.whole != nil)
 	if plan.Read != e.reading {
 		e.reading = plan.Read
 		out.note(slog.LevelInfo, "store: reader changed", slog.Bool("reads", plan.Read), slog.Bool("leader", plan.Leader),
@@ -137,15 +139,9 @@
 	}
 }
 
-// Since returns what a peer that is complete up to a revision lacks. It reports
-// false if this host has nothing to give.
-func (e *Engine) Since(now cactuspin.Time, after cactuspin.Revision) (cactuspin.Update, bool) {
-	return e.keeper.Since(now, after)
-}
-
 // take merges an update that came from source, and pushes what is new on.
 func (e *Engine) take(now cactuspin.Time, u *cactuspin.Update, source string, out *Actions) bool {
-	e.planner.Learn(now, u.Hosts)
+	e.planner.Learn(now, u.Hosts, e.keeper.Position(now).Complete)
 	c, ok := e.keeper.Merge(now, u)
 	if !ok {
 		return false
--- a/internal/entry/engine/peers.go
+++ b/internal/entry/engine/peers.go
@@ -60,7 +60,7 @@
 		out.note(slog.LevelInfo, "peer: heard", slog.String("host", b.Host.Address.String()), slog.String("zone", string(b.Host.Zone)),
 			slog.Uint64("incarnation", uint64(b.Incarnation)), slog.Uint64("revision", uint64(b.Revision)))
 	}
-	if b.Answer && e.keeper.Position(now).Complete {
+	if b.Answer {
 		answer := e.beacon(now)
 		out.send([]netip.Addr{b.Host.Address}, encoder.Datagram{Beacon: &answer})
 	}
@@ -83,12 +83,58 @@
 	out.Fetch = &Fetch{Host: host, After: e.keeper.Position(now).Revision, Asked: now}
 }
 
+// maxSupplies is how many whole updates a host sends at a time. Others that ask
+// meanwhile find a host that has got one, so that a fleet which starts at once
+// spreads them like a tree.
+const maxSupplies = 3
+
+// supplyError says why a peer gets no update.
+type supplyError string
+
+// Error returns the text of the error.
+func (e supplyError) Error() string { return string(e) }
+
+const (
+	// ErrNothingKnown says that the host has not learned anything itself.
+	ErrNothingKnown = supplyError("nothing known yet")
+	// ErrBusy says that the host sends as many whole updates as it can.
+	ErrBusy = supplyError("busy sending updates")
+)
+
+// Supply returns what a peer that is complete up to a revision lacks. Each
+// update is followed by Supplied once it was sent.
+func (e *Engine) Supply(now cactuspin.Time, after cactuspin.Revision) (u cactuspin.Update, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.supplying >= maxSupplies && e.keeper.Whole(after) {
+		return u, ErrBusy
+	}
+	u, ok := e.keeper.Since(now, after)
+	if !ok {
+		return u, ErrNothingKnown
+	}
+	if u.Full {
+		e.supplying++
+	}
+	return u, nil
+}
+
+// Supplied takes word that an update was sent, or could not be.
+func (e *Engine) Supplied(u *cactuspin.Update) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if u.Full {
+		e.supplying--
+	}
+}
+
 // Fetched takes the answer to a fetch.
 func (e *Engine) Fetched(now cactuspin.Time, f *Fetch, u *cactuspin.Update, err error, out *Actions) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.fetching = false
 	if err != nil {
+		e.planner.Declined(now, f.Host)
 		out.note(slog.LevelInfo, "peer: update not fetched", slog.String("host", f.Host.String()), slog.Any("error", err))
 		return
 	}
--- a/internal/entry/engine/store.go
+++ b/internal/entry/engine/store.go
@@ -27,6 +27,8 @@
 	failed  bool
 	// lost says that the history after the known revision is gone.
 	lost bool
+	// whole is the read of everything that has begun, or nil.
+	whole *wholeRead
 }
 
 // call makes the next call of the store if this host is to read it.
@@ -38,6 +40,7 @@
 	e.store.calling = true
 	out.Store = &StoreCall{
 		All:   !known.Complete || e.store.lost,
+		From:  e.readOn(known.Complete),
 		After: known.Revision,
 		Wait:  e.c.Bound * waitShare / 100,
 		Asked: now,
@@ -74,20 +77,23 @@
 }
 
 func (e *Engine) storeAnswered(now cactuspin.Time, c *StoreCall, u *cactuspin.Update, out *Actions) {
-	u.Age = now.Sub(c.Asked)
-	if !c.All && u.Revision == u.After {
-		// An answer without news was given when the wait was over.
-		u.Age = max(0, u.Age-c.Wait)
-	}
-	u.Settled = e.keeper.Position(now).Settled
+	settled := e.keeper.Position(now).Settled
 	if e.store.failed {
 		out.note(slog.LevelInfo, "store: regained", slog.Uint64("revision", uint64(u.Revision)))
-		u.Settled = 0
+		settled = 0
 	}
 	e.store.failed, e.store.pause = false, firstRetry
-	e.store.lost = e.store.lost && !c.All
-	if !c.All && u.Revision > u.After {
+	switch {
+	case c.All:
+		if u = e.readPage(now, c, u); u == nil {
+			return
+		}
+	case u.Revision > u.After:
+		u.Age = sinceAsked(now, c, u)
 		e.store.nextAt = now.Add(batchTime)
+	default:
+		u.Age = sinceAsked(now, c, u)
 	}
+	u.Settled = settled
 	e.take(now, u, "store", out)
 }
--- a/internal/entry/gossiper/gossiper.go
+++ b/internal/entry/gossiper/gossiper.go
@@ -22,8 +22,11 @@
 )
 
 const (
-	// fetchTimeout bounds a fetch from a peer, which is milliseconds away.
+	// fetchTimeout is how long a peer, which is milliseconds away, may take to begin
+	// its answer to a fetch.
 	fetchTimeout = 400 * time.Millisecond
+	// bodyTimeout bounds a fetch: some hundred kilobytes over a small host's link.
+	bodyTimeout = 2 * time.Second
 	// maxUpdate bounds a fetched update in bytes.
 	maxUpdate = 64 << 20
 	// maxDatagram is the longest UDP payload in bytes.
@@ -60,7 +63,8 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	t := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	d := &net.Dialer{Timeout: fetchTimeout}
+	t := &http.Transport{DialContext: d.DialContext, ResponseHeaderTimeout: fetchTimeout, DisableKeepAlives: true, DisableCompression: true}
 	return &Gossiper{cfg: c, socket: s, client: &http.Client{Transport: t}, done: make(chan error, 1)}, nil
 }
 
@@ -133,7 +137,7 @@
 
 func (g *Gossiper) fetch(ctx context.Context, f *engine.Fetch) (u cactuspin.Update, err error) {
 	defer func() { err = errors.Wrap(err, "fetch update") }()
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	ctx, cancel := context.WithTimeout(ctx, bodyTimeout)
 	defer cancel()
 	address := netip.AddrPortFrom(f.Host, g.cfg.KnowledgePort).String()
 	path := "http://" + address + KnowledgePath + "?after=" + strconv.FormatUint(uint64(f.After), 10)
@@ -163,11 +167,12 @@
 		http.Error(w, "after is not a number", http.StatusBadRequest)
 		return
 	}
-	u, ok := g.cfg.Engine.Since(g.cfg.Clock(), cactuspin.Revision(after))
-	if !ok {
-		http.Error(w, "nothing known yet", http.StatusServiceUnavailable)
+	u, err := g.cfg.Engine.Supply(g.cfg.Clock(), cactuspin.Revision(after))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
 	}
+	defer g.cfg.Engine.Supplied(&u)
 	b, err := encoder.EncodeUpdate(&u)
 	if err != nil {
 		g.cfg.Logger.Error("peer: update not encoded", slog.Any("error", err))
--- a/internal/entry/learner/learner.go
+++ b/internal/entry/learner/learner.go
@@ -63,7 +63,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return l.cfg.Store.Read(ctx)
+	return l.cfg.Store.Read(ctx, c.From)
 }
 
 // Start keeps this host announced until the context ends, which is reported on
--- a/internal/knowledge/keeper/keeper.go
+++ b/internal/knowledge/keeper/keeper.go
@@ -224,6 +224,16 @@
 	k.gone[g.ID] = g.Revision
 }
 
+// Whole tells whether a host that is complete up to a revision needs a full
+// update: what ended since is not remembered.
+func (k *Keeper) Whole(after cactuspin.Revision) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.whole(after)
+}
+
+func (k *Keeper) whole(after cactuspin.Revision) bool { return after == 0 || after < k.horizon }
+
 // Since returns an update from the revision on: a partial one where all that
 // ended since is remembered, else a full one. It reports false if there is no
 // knowledge to give.
@@ -234,7 +244,7 @@
 		return u, false
 	}
 	u = cactuspin.Update{Revision: k.revision, Age: k.age(now), Settled: max(0, now.Sub(k.settled))}
-	u.Full = after == 0 || after < k.horizon
+	u.Full = k.whole(after)
 	if u.Full {
 		after = 0
 	}
--- a/internal/knowledge/planner/planner.go
+++ b/internal/knowledge/planner/planner.go
@@ -8,6 +8,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -35,6 +36,18 @@
 	keepReading = 3 * time.Second
 	// fetchInterval is the least time between two fetches from the same peer.
 	fetchInterval = 100 * time.Millisecond
+	// searchInterval is the time between the beacons of a host that knows nothing
+	// yet and asks others for what they know.
+	searchInterval = 150 * time.Millisecond
+	// searched is how many hosts of the zone such a host asks beside the first ones.
+	searched = 2
+	// declinedFor is how long about a peer that gave no update is left alone.
+	declinedFor = 400 * time.Millisecond
+	// othersFirst is how long hosts past the listeners wait for a peer's update when
+	// the store holds more than a page: a few times what reading it all takes.
+	othersFirst = 500 * time.Millisecond
+	// unknownAge is the age of the knowledge of a host that was not heard yet.
+	unknownAge = time.Hour
 )
 
 // Config configures a planner.
@@ -76,7 +89,9 @@
 	peers     map[netip.Addr]*peer
 	beaconAt  cactuspin.Time
 	readUntil cactuspin.Time
-	random    *rand.Rand
+	// begunAt is when a read of everything had its first page, or 0.
+	begunAt cactuspin.Time
+	random  *rand.Rand
 }
 
 // New returns a planner that knows no other host.
@@ -84,15 +99,21 @@
 	return &Planner{c: c, peers: map[netip.Addr]*peer{}, random: rand.New(rand.NewPCG(c.Seed, uint64(c.Incarnation)))}
 }
 
-// Learn takes hosts that are said to exist.
-func (p *Planner) Learn(now cactuspin.Time, hosts []cactuspin.EntryHost) {
+// Learn takes hosts that are said to exist. A host that is still incomplete takes
+// them for alive until they prove silent, so that not all that start at once
+// count themselves first.
+func (p *Planner) Learn(now cactuspin.Time, hosts []cactuspin.EntryHost, complete bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, h := range hosts {
 		if h.Address == p.c.Self.Address || p.peers[h.Address] != nil {
 			continue
 		}
-		p.peers[h.Address] = &peer{EntryHost: h, heard: now.Add(-aliveFor)}
+		x := &peer{EntryHost: h, heard: now, age: unknownAge}
+		if complete {
+			x.heard = now.Add(-aliveFor)
+		}
+		p.peers[h.Address] = x
 	}
 }
 
@@ -127,38 +148,64 @@
 	return true
 }
 
-// Tick returns what is to be done now.
-func (p *Planner) Tick(now cactuspin.Time, known keeper.Position) (plan Plan) {
+// Declined takes word that a host gave no update: it is asked again later, by
+// each host at another time.
+func (p *Planner) Declined(now cactuspin.Time, host netip.Addr) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if x := p.peers[host]; x != nil {
+		x.fetched = now.Add(declinedFor/2 + time.Duration(p.random.Int64N(int64(declinedFor))))
+	}
+}
+
+// Tick returns what is to be done now. begun says that the host has read a page
+// of the store's content and that there are more.
+func (p *Planner) Tick(now cactuspin.Time, known keeper.Position, begun bool) (plan Plan) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.forget(now)
 	zone := p.zoneAlive(now)
-	rank := sort.Search(len(zone), func(i int) bool { return !zone[i].Less(p.c.Self.Address) })
+	rank := p.rank(zone)
 	plan.Leader = rank == 0
-	plan.Read = p.reads(now, known, rank)
+	plan.Read = p.reads(now, known, rank, begun)
 	if now < p.beaconAt {
 		return plan
 	}
-	// Jitter keeps the beacons of hosts that started together apart.
-	p.beaconAt = now.Add(BeaconInterval - time.Duration(p.random.Int64N(int64(BeaconInterval/5))))
+	interval := BeaconInterval
 	plan.Tell = p.audience(zone, rank)
 	if plan.Leader {
 		plan.Leaders = p.leaders(now)
 	}
 	if !known.Complete {
+		interval = searchInterval
+		plan.Tell = p.asked(zone)
 		plan.Leaders = append(plan.Leaders, p.unheardSeeds()...)
 	}
+	// Jitter keeps the beacons of hosts that started together apart.
+	p.beaconAt = now.Add(interval - time.Duration(p.random.Int64N(int64(interval/5))))
 	return plan
 }
 
+// Reads tells whether this host is to read the store now.
+func (p *Planner) Reads(now cactuspin.Time, known keeper.Position, begun bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reads(now, known, p.rank(p.zoneAlive(now)), begun)
+}
+
+// rank is the number of living hosts of this zone that come before this one.
+func (p *Planner) rank(alive []netip.Addr) int {
+	return sort.Search(len(alive), func(i int) bool { return !alive[i].Less(p.c.Self.Address) })
+}
+
 // reads tells whether this host is to read the store: the first leader with
 // fresh knowledge does, and any host whose knowledge has become too old.
-func (p *Planner) reads(now cactuspin.Time, known keeper.Position, rank int) bool {
+func (p *Planner) reads(now cactuspin.Time, known keeper.Position, rank int, begun bool) bool {
 	if rank == 0 && !p.fresherLeader(now, known.Age) {
 		return true
 	}
 	if !known.Complete {
-		return true
+		return p.readsWhole(now, rank, begun)
 	}
 	if known.Age > p.c.Freshness+time.Duration(rank)*rankDelay {
 		p.readUntil = now.Add(keepReading)
@@ -166,6 +213,35 @@
 	return now < p.readUntil
 }
 
+// readsWhole tells whether a host without knowledge reads on. All read the first
+// page, which is the only one at a small site. Of the rest, each zone's first
+// hosts read all; the others only if no peer has given it to them in time.
+func (p *Planner) readsWhole(now cactuspin.Time, rank int, begun bool) bool {
+	if !begun {
+		p.begunAt = 0
+		return true
+	}
+	if p.begunAt == 0 {
+		p.begunAt = now
+	}
+	return rank < listeners || now.Sub(p.begunAt) > othersFirst+time.Duration(rank)*rankDelay
+}
+
+// asked returns whom a host without knowledge asks in its zone: the first hosts,
+// and some by chance, who may have got it from them.
+func (p *Planner) asked(alive []netip.Addr) []netip.Addr {
+	if len(alive) <= listeners+searched {
+		return p.zoneKnown()
+	}
+	rest := alive[listeners:]
+	first := p.random.IntN(len(rest))
+	to := slices.Clone(alive[:listeners])
+	for i := range searched {
+		to = append(to, rest[(first+i)%len(rest)])
+	}
+	return to
+}
+
 // fresherLeader tells whether another zone's leader comes before this one.
 func (p *Planner) fresherLeader(now cactuspin.Time, age time.Duration) bool {
 	for a, x := range p.peers {
--- a/internal/knowledge/planner/planner_test.go
+++ b/internal/knowledge/planner/planner_test.go
@@ -26,6 +26,11 @@
 	return planner.New(planner.Config{Self: self, Incarnation: 1, Freshness: freshness, Seed: 1})
 }
 
+// tick lets a planner decide that has all that the store holds.
+func tick(p *planner.Planner, at cactuspin.Time, age time.Duration) planner.Plan {
+	return p.Tick(at, known(age), false)
+}
+
 func hear(p *planner.Planner, at cactuspin.Time, age time.Duration, hosts ...cactuspin.EntryHost) {
 	for _, h := range hosts {
 		p.Hear(at, &encoder.Beacon{Host: h, Incarnation: 5, Complete: true, Age: age})
@@ -42,9 +47,9 @@
 	hear(first, now, 0, host(0, 2), host(1, 1))
 	hear(second, now, 0, host(0, 1))
 	hear(third, now, 0, host(0, 1))
-	g.Expect(first.Tick(now, known(0)).Read).To(BeTrue())
-	g.Expect(second.Tick(now, known(0)).Read).To(BeFalse())
-	plan := third.Tick(now, known(0))
+	g.Expect(tick(first, now, 0).Read).To(BeTrue())
+	g.Expect(tick(second, now, 0).Read).To(BeFalse())
+	plan := tick(third, now, 0)
 	g.Expect(plan.Read).To(BeFalse())
 	g.Expect(plan.Leader).To(BeTrue())
 }
@@ -53,29 +58,29 @@
 	g := NewWithT(t)
 	next := newPlanner(host(1, 1))
 	hear(next, now, 2*freshness, host(0, 1))
-	g.Expect(next.Tick(now, known(0)).Read).To(BeTrue())
+	g.Expect(tick(next, now, 0).Read).To(BeTrue())
 	stale := newPlanner(host(0, 1))
 	hear(stale, now, 0, host(1, 1))
-	g.Expect(stale.Tick(now, known(freshness/2)).Read).To(BeTrue(), "still fresh, and first")
+	g.Expect(tick(stale, now, freshness/2).Read).To(BeTrue(), "still fresh, and first")
 }
 
 func TestASilentReaderIsReplaced(t *testing.T) {
 	g := NewWithT(t)
 	p := newPlanner(host(0, 2))
 	hear(p, now, 0, host(0, 1))
-	g.Expect(p.Tick(now.Add(time.Second), known(time.Second)).Read).To(BeFalse())
-	g.Expect(p.Tick(now.Add(1300*time.Millisecond), known(1300*time.Millisecond)).Read).To(BeTrue(), "it leads now")
+	g.Expect(tick(p, now.Add(time.Second), time.Second).Read).To(BeFalse())
+	g.Expect(tick(p, now.Add(1300*time.Millisecond), 1300*time.Millisecond).Read).To(BeTrue(), "it leads now")
 }
 
 func TestOldKnowledgeMakesAnyHostRead(t *testing.T) {
 	g := NewWithT(t)
 	p := newPlanner(host(0, 9))
 	hear(p, now, 0, host(0, 1), host(0, 2))
-	g.Expect(p.Tick(now, known(freshness)).Read).To(BeFalse())
-	g.Expect(p.Tick(now, known(freshness+time.Second)).Read).To(BeTrue())
-	g.Expect(p.Tick(now.Add(time.Second), known(0)).Read).To(BeTrue(), "it reads on for a while")
+	g.Expect(tick(p, now, freshness).Read).To(BeFalse())
+	g.Expect(tick(p, now, freshness+time.Second).Read).To(BeTrue())
+	g.Expect(tick(p, now.Add(time.Second), 0).Read).To(BeTrue(), "it reads on for a while")
 	hear(p, now.Add(4*time.Second), 0, host(0, 1), host(0, 2))
-	g.Expect(p.Tick(now.Add(4*time.Second), known(0)).Read).To(BeFalse())
+	g.Expect(tick(p, now.Add(4*time.Second), 0).Read).To(BeFalse())
 }
 
 func TestBeaconsGrowWithTheZoneAndNotItsSquare(t *testing.T) {
@@ -90,7 +95,7 @@
 			}
 		}
 		hear(p, now, 0, host(1, 1), host(1, 2), host(2, 1))
-		plan := p.Tick(now, known(0))
+		plan := tick(p, now, 0)
 		told += len(plan.Tell)
 		if i == 1 {
 			g.Expect(plan.Leaders).To(ConsistOf(host(1, 1).Address, host(2, 1).Address))
--- a/internal/standin/simulator/host.go
+++ b/internal/standin/simulator/host.go
@@ -16,8 +16,15 @@
 	stopTime = 2 * time.Second
 	// probeTimeout is when an unanswered probe has failed.
 	probeTimeout = 250 * time.Millisecond
-	// fetchTimeout is when an unanswered fetch has failed.
+	// fetchTimeout is when an unanswered fetch has failed, bodyTimeout when one
+	// whose answer takes too long has.
 	fetchTimeout = 400 * time.Millisecond
+	bodyTimeout  = 2 * time.Second
+	// entryBytes is what a registration takes in an update between hosts.
+	entryBytes = 70
+	// decodeShare is the cost of reading a registration from a host, as a share of
+	// that of reading it from the store.
+	decodeShare = 0.1
 )
 
 // host is an entry host: an engine whose actions are performed on the models.
@@ -36,11 +43,35 @@
 	// storeCut says that the store is out of reach.
 	storeCut bool
 	version  cactuspin.RoutingVersion
+	link     link
+	// processor is when the host is done with what it reads.
+	processor cactuspin.Time
+}
+
+// link is a link that carries one thing after another.
+type link struct{ free cactuspin.Time }
+
+// carry returns how long it takes until n bytes are over, at a rate in bytes a
+// second; 0 is no limit.
+func (l *link) carry(now cactuspin.Time, n int, rate float64) time.Duration {
+	if rate == 0 {
+		return 0
+	}
+	l.free = max(l.free, now).Add(time.Duration(float64(n) / rate * float64(time.Second)))
+	return l.free.Sub(now)
+}
+
+// work returns how long it takes until the host has read n registrations.
+func (h *host) work(n int, share float64) time.Duration {
+	cost := time.Duration(float64(n) * share * float64(h.sim.story.ReadCost.Duration))
+	h.processor = max(h.processor, h.sim.now).Add(cost)
+	return h.processor.Sub(h.sim.now)
 }
 
 func (h *host) start() {
 	h.life++
 	h.running, h.frozen, h.version = true, false, 0
+	h.processor = 0
 	h.held = nil
 	var seeds []netip.Addr
 	for i := 0; i < len(h.sim.hosts) && i < 3; i++ {
@@ -67,6 +98,9 @@
 	h.sim.after(engine.TickInterval, func() { h.tick(life) })
 	if !h.frozen {
 		h.do(func(out *engine.Actions) { h.engine.Tick(h.sim.now, out) })
+		if h.engine.Loaded(h.sim.now) {
+			h.release()
+		}
 	}
 }
 
@@ -118,9 +152,10 @@
 }
 
 func (h *host) fetch(f *engine.Fetch) {
-	life, p := h.life, h.sim.hostAt(f.Host)
+	life, p, ended := h.life, h.sim.hostAt(f.Host), false
 	answer := func(u cactuspin.Update, err error) {
-		if h.life == life {
+		if h.life == life && !ended {
+			ended = true
 			h.do(func(out *engine.Actions) { h.engine.Fetched(h.sim.now, f, &u, err, out) })
 		}
 	}
@@ -128,13 +163,25 @@
 		h.sim.after(fetchTimeout, func() { answer(cactuspin.Update{}, errUnavailable) })
 		return
 	}
-	h.sim.after(3*h.sim.delay(&h.place, &p.place), func() {
-		u, ok := p.engine.Since(h.sim.now, f.After)
-		if !ok {
-			answer(u, errUnavailable)
-			return
-		}
-		answer(u, nil)
+	h.sim.after(bodyTimeout, func() { answer(cactuspin.Update{}, errUnavailable) })
+	h.sim.after(3*h.sim.delay(&h.place, &p.place), func() { p.supply(h, f, answer) })
+}
+
+// supply answers a fetch.
+func (h *host) supply(to *host, f *engine.Fetch, answer func(cactuspin.Update, error)) {
+	if !h.running {
+		return
+	}
+	e := h.engine
+	u, err := e.Supply(h.sim.now, f.After)
+	if err != nil {
+		answer(u, err)
+		return
+	}
+	sent := h.work(len(u.Targets), decodeShare) + h.link.carry(h.sim.now, entryBytes*len(u.Targets), h.sim.story.HostRate)
+	h.sim.after(sent, func() {
+		e.Supplied(&u)
+		h.sim.after(to.work(len(u.Targets), decodeShare), func() { answer(u, nil) })
 	})
 }
 
@@ -144,7 +191,6 @@
 		if !h.engine.Loaded(h.sim.now) {
 			// The socket holds packets until there are routes.
 			h.held = append(h.held, func() { h.packet(c, p, r) })
-			h.sim.after(engine.TickInterval, h.release)
 			return
 		}
 		v := h.engine.Steer(h.sim.now, &p)
--- a/internal/standin/simulator/oracle.go
+++ b/internal/standin/simulator/oracle.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/cactuspin/cactuspin"
 )
@@ -17,8 +19,17 @@
 	Calls int
 	// PeerBytes counts what hosts sent to each other in datagrams.
 	PeerBytes int
+	// Recovered is how long after all hosts were killed a span began in which nine
+	// tenths of the requests were served.
+	Recovered time.Duration
 }
 
+// recoverySpan is the span by which service counts as back.
+const recoverySpan = 500 * time.Millisecond
+
+// tally counts requests and those that were served.
+type tally struct{ asked, served int }
+
 // oracle sees what callers, targets and the operator see.
 type oracle struct {
 	sim    *Simulation
@@ -40,6 +51,9 @@
 	// the requests from then on.
 	recoverAt               cactuspin.Time
 	afterAsked, afterServed int
+	// killedAt is when all hosts were killed, spans counts the requests since then.
+	killedAt cactuspin.Time
+	spans    map[int]tally
 }
 
 // acceptance is when a routing was accepted.
@@ -74,6 +88,15 @@
 	if !served && o.lackedSince(r.route, r.began.Add(-applyBound)) {
 		return
 	}
+	if o.killedAt != 0 && r.began >= o.killedAt {
+		n := int(r.began.Sub(o.killedAt) / recoverySpan)
+		span := o.spans[n]
+		span.asked++
+		if served {
+			span.served++
+		}
+		o.spans[n] = span
+	}
 	late := o.recoverAt != 0 && r.began >= o.recoverAt
 	if late {
 		o.afterAsked++
@@ -211,5 +234,18 @@
 	if o.afterAsked > 0 && 4*o.afterServed < o.afterAsked {
 		o.breaks("RECOVER", "%d of %d requests served after all hosts were killed", o.afterServed, o.afterAsked)
 	}
-	return Result{Asked: o.asks, Served: o.served, Failed: o.failed, Broken: o.broken, Calls: o.calls, PeerBytes: o.peerBytes}
+	return Result{
+		Asked: o.asks, Served: o.served, Failed: o.failed, Broken: o.broken, Calls: o.calls, PeerBytes: o.peerBytes,
+		Recovered: o.recovered(),
+	}
+}
+
+// recovered returns when service was back after all hosts were killed.
+func (o *oracle) recovered() time.Duration {
+	for _, n := range slices.Sorted(maps.Keys(o.spans)) {
+		if x := o.spans[n]; 10*x.served >= 9*x.asked {
+			return time.Duration(n) * recoverySpan
+		}
+	}
+	return o.sim.story.Length.Duration
 }
--- a/internal/standin/simulator/simulator_test.go
+++ b/internal/standin/simulator/simulator_test.go
@@ -41,6 +41,10 @@
 					length := story.Lead.Duration + story.Length.Duration
 					g.Expect(float64(r.Calls)/length.Seconds()).To(BeNumerically("<=", story.Calls), "seed %d", seed)
 				}
+				if story.Recovered.Duration > 0 {
+					g.Expect(r.Recovered).To(BeNumerically("<=", story.Recovered.Duration), "seed %d", seed)
+				}
+				t.Logf("seed %d: back after %s", seed, r.Recovered)
 				t.Logf("seed %d: %d asked, %d served, %d failed, %d calls", seed, r.Asked, r.Served, r.Failed, r.Calls)
 			}
 		})
--- a/internal/standin/simulator/store.go
+++ b/internal/standin/simulator/store.go
@@ -1,6 +1,7 @@
 package simulator
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -15,8 +16,11 @@
 	answerSlack = 500 * time.Millisecond
 	// returnTime is how long living targets take to register again after an outage.
 	returnTime = 1500 * time.Millisecond
-	// readTimeout bounds a read of everything.
+	// readTimeout bounds the read of a page.
 	readTimeout = time.Second
+	// pageItems is how many items a page has, itemBytes what one takes.
+	pageItems = 500
+	itemBytes = 300
 )
 
 var errUnavailable = errors.New("store is unavailable")
@@ -46,6 +50,7 @@
 	down, silent, mute bool
 	slow               time.Duration
 	refused            map[*host]bool
+	link               link
 }
 
 // waiter is a call that is not answered yet.
@@ -128,7 +133,7 @@
 			s.reply(w, nil, errUnavailable)
 		}
 	case w.call.All:
-		s.reply(w, s.all(), nil)
+		s.reply(w, s.page(w.call.From), nil)
 	case w.call.After < s.kept:
 		s.reply(w, nil, cactuspin.ErrHistoryLost)
 	case w.call.After < s.revision && !s.mute:
@@ -139,12 +144,30 @@
 	}
 }
 
-func (s *store) all() *cactuspin.Update {
-	u := &cactuspin.Update{Full: true, Revision: s.revision, Routing: s.routing, Hosts: slices.Clone(s.hosts)}
-	for _, t := range s.targets {
-		u.Targets = append(u.Targets, t)
+// page returns a page of everything: hosts and routing come first, then targets
+// by their ids. The cursor is the last id.
+func (s *store) page(from cactuspin.Cursor) *cactuspin.Update {
+	u := &cactuspin.Update{Full: true, Revision: s.revision}
+	room := pageItems
+	if from == "" {
+		u.Routing, u.Hosts = s.routing, slices.Clone(s.hosts)
+		room = max(0, pageItems-1-len(s.hosts))
+	}
+	ids := slices.Sorted(maps.Keys(s.targets))
+	first, found := slices.BinarySearch(ids, cactuspin.TargetID(from))
+	if found {
+		first++
+	}
+	last := min(len(ids), first+room)
+	for _, id := range ids[first:last] {
+		u.Targets = append(u.Targets, s.targets[id])
+	}
+	if last < len(ids) {
+		u.Next = max(from, " ")
+		if last > first {
+			u.Next = cactuspin.Cursor(ids[last-1])
+		}
 	}
-	slices.SortFunc(u.Targets, func(a, b cactuspin.RegisteredTarget) int { return int(a.Revision) - int(b.Revision) })
 	return u
 }
 
@@ -181,10 +204,16 @@
 
 // reply sends an answer back.
 func (s *store) reply(w *waiter, u *cactuspin.Update, err error) {
-	s.sim.after(s.delay(), func() {
-		if !s.sim.blockedStore(w.host) {
-			s.answer(w, u, err)
+	items, sent := 0, s.delay()
+	if u != nil {
+		items = len(u.Targets) + len(u.Hosts)
+		sent += s.link.carry(s.sim.now, itemBytes*items, s.sim.story.StoreRate)
+	}
+	s.sim.after(sent, func() {
+		if s.sim.blockedStore(w.host) || w.host.life != w.life {
+			return
 		}
+		s.sim.after(w.host.work(items, 1), func() { s.answer(w, u, err) })
 	})
 }
 
--- a/internal/standin/simulator/story.go
+++ b/internal/standin/simulator/story.go
@@ -21,6 +21,15 @@
 	Served float64 `yaml:"served"`
 	// Calls is the most calls of the store a second, over the run, or 0.
 	Calls float64 `yaml:"calls"`
+	// StoreRate and HostRate are what the links of the store and of a host carry,
+	// in bytes a second, or 0 for no limit.
+	StoreRate float64 `yaml:"store_rate"`
+	HostRate  float64 `yaml:"host_rate"`
+	// ReadCost is what a host's processor takes to read a registration.
+	ReadCost Duration `yaml:"read_cost"`
+	// Recovered is the most that may pass from the last kill_all until a second in
+	// which nine tenths of the requests are served, or 0.
+	Recovered Duration `yaml:"recovered"`
 }
 
 // Fault is something that happens during a run.
--- a/internal/standin/simulator/strikes.go
+++ b/internal/standin/simulator/strikes.go
@@ -176,6 +176,7 @@
 		h.kill(f.For.Duration)
 	}
 	s.oracle.recoverAt = s.now.Add(f.For.Duration + recoverBound)
+	s.oracle.killedAt, s.oracle.spans = s.now, map[int]tally{}
 }
 
 func (s *Simulation) storeDown(f *Fault) {
--- a/steering.go
+++ b/steering.go
@@ -116,8 +116,14 @@
 	Gone    []GoneTarget       `cbor:"8,keyasint,omitempty"`
 	// Hosts are entry hosts that announced themselves.
 	Hosts []EntryHost `cbor:"9,keyasint,omitempty"`
+	// Next is where the next page of a read begins; empty after the last one.
+	Next Cursor `cbor:"-"`
 }
 
+// Cursor is a place in the store's content, in the order in which it is read.
+// The empty one is the beginning.
+type Cursor string
+
 // EntryHost is a host of the packet path as it announces itself.
 type EntryHost struct {
 	Address netip.Addr `cbor:"1,keyasint" json:"address"`
@@ -127,8 +133,9 @@
 // Store is the platform's metadata store. Its errors are annotated; one that
 // matches ErrHistoryLost asks for a new Read.
 type Store interface {
-	// Read returns all registrations and the routing, as a full update.
-	Read(ctx context.Context) (Update, error)
+	// Read returns a page of all registrations and the routing. Pages are read at
+	// different moments: what all of them say holds from the revision of the first.
+	Read(ctx context.Context, from Cursor) (Update, error)
 	// Watch waits until something changed after the revision, for wait at most.
 	Watch(ctx context.Context, after Revision, wait time.Duration) (Update, error)
 	// Announce registers an entry host for ttl and returns the lease.
