Take changed settings over without a signal, and report lost peers

Cause: the platform's settings file may change without SIGHUP; hosts looked at it only then and took nothing over. Change: the file's text is compared every two seconds; store, seeds, bounds and the time to stop are taken over, the line "settings reloaded" names what was and what waits for a new start. A file with faults changes nothing. Peers are reported when regular beacons are due from them: of the own zone, and of the leaders at a leader; "peer: silent" is new. Ruled out: watching by inotify, which the machines do not have. Tests: TestAHostForwardsOverRealSockets moves the store without a signal; TestLostAndRegainedPeersAreReportedOnce. Both fail on the code before.

--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -52,11 +52,12 @@
 	if err := o.level.UnmarshalText([]byte(level)); err != nil {
 		return complain(stderr, err)
 	}
-	s, err := platform.LoadSettings(o.settings)
+	f := platform.NewSettingsFile(o.settings)
+	s, err := f.Load()
 	if err != nil {
 		return complain(stderr, err)
 	}
-	return run(&o, &s, signals, stdout)
+	return run(&o, f, &s, signals, stdout)
 }
 
 // signals are what the platform tells the process.
@@ -78,12 +79,12 @@
 }
 
 // run serves until SIGTERM or SIGINT and the planned stop after it.
-func run(o *options, s *platform.Settings, signals signals, stdout io.Writer) int {
+func run(o *options, f *platform.SettingsFile, s *platform.Settings, signals signals, stdout io.Writer) int {
 	w := writer.New(stdout)
 	logger := slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: o.level}))
 	logging, endLogging := context.WithCancel(context.Background())
 	w.Start(logging)
-	err := serve(o, s, signals, logger, w)
+	err := serve(o, f, s, signals, logger, w)
 	if err != nil {
 		logger.Error("host: failed", slog.Any("error", err))
 	} else {
@@ -96,9 +97,9 @@
 	return 0
 }
 
-func serve(o *options, s *platform.Settings, signals signals, logger *slog.Logger, w *writer.Writer) (err error) {
+func serve(o *options, f *platform.SettingsFile, s *platform.Settings, signals signals, logger *slog.Logger, w *writer.Writer) (err error) {
 	defer func() { err = errors.Wrap(err, "entry host") }()
-	h, err := newHost(o, s, logger, w)
+	h, err := newHost(o, f, s, logger, w)
 	if err != nil {
 		return err
 	}
@@ -109,7 +110,7 @@
 	for {
 		select {
 		case <-signals.reload:
-			h.reload(o.settings)
+			h.reload(true)
 		case <-signals.stop:
 			h.drain()
 			return nil
--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -16,6 +16,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/cactuspin/cactuspin"
 	"github.com/cactuspin/cactuspin/internal/entry/writer"
 	"github.com/cactuspin/cactuspin/internal/standin/metastore"
 	"github.com/cactuspin/cactuspin/platform"
@@ -36,12 +37,12 @@
 	registration  = `{"service":"s","address":"127.77.0.5:8080","zone":"z","slots":3,"state":"ready"}`
 )
 
-// serveStore serves a store with a route and a target.
-func serveStore(t *testing.T, g *WithT) *metastore.Store {
+// serveStore serves a store at an address.
+func serveStore(t *testing.T, g *WithT, at string) *metastore.Store {
 	t.Helper()
 	s := metastore.New()
 	var n net.ListenConfig
-	l, err := n.Listen(context.Background(), "tcp4", "127.77.0.9:8169")
+	l, err := n.Listen(context.Background(), "tcp4", at)
 	g.Expect(err).NotTo(HaveOccurred())
 	server := &http.Server{Handler: s, ReadHeaderTimeout: time.Second}
 	go func() { _ = server.Serve(l) }()
@@ -69,12 +70,13 @@
 	g := NewWithT(t)
 	path := filepath.Join(t.TempDir(), "local.yaml")
 	g.Expect(os.WriteFile(path, []byte(file), 0o600)).To(Succeed())
-	store := serveStore(t, g)
-	settings, err := platform.LoadSettings(path)
+	store := serveStore(t, g, "127.77.0.9:8169")
+	settingsFile := platform.NewSettingsFile(path)
+	settings, err := settingsFile.Load()
 	g.Expect(err).NotTo(HaveOccurred())
 	var log strings.Builder
 	w := writer.New(&log)
-	h, err := newHost(&options{metricsPort: 9464}, &settings, slog.New(slog.NewTextHandler(w, nil)), w)
+	h, err := newHost(&options{metricsPort: 9464}, settingsFile, &settings, slog.New(slog.NewTextHandler(w, nil)), w)
 	g.Expect(err).NotTo(HaveOccurred())
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -131,11 +133,29 @@
 	g.Expect(get(address + ":7721/v1/knowledge?after=0")).To(HavePrefix("200"))
 	g.Expect(get(address + ":7721/v1/knowledge?after=x")).To(HavePrefix("400"))
 
-	h.reload(path)
+	// The settings file changes without a signal: the store has moved.
+	moved := serveStore(t, g, "127.77.0.10:8169")
+	for range 20 {
+		moved.Put("servers/i-0000000a", []byte(registration))
+	}
+	moved.Put("op/config", []byte(strings.Replace(configuration, `"version":7`, `"version":9`, 1)))
+	h.reload(false)
+	g.Expect(h.status().Version).To(Equal(cactuspin.RoutingVersion(7)))
+	changed := strings.NewReplacer("127.77.0.9:8169", "127.77.0.10:8169", `zone: "z"`, `zone: "other"`).Replace(file)
+	g.Expect(os.WriteFile(path, []byte(changed), 0o600)).To(Succeed())
+	h.reload(false)
+	g.Eventually(func() cactuspin.RoutingVersion { return h.status().Version }, eventually).Should(Equal(cactuspin.RoutingVersion(9)))
+	g.Expect(h.settings.Load().Zone).To(Equal(cactuspin.ZoneID("z")), "until it starts again")
+
 	g.Expect(os.WriteFile(path, []byte("ip: nobody\n"), 0o600)).To(Succeed())
-	h.reload(path)
+	h.reload(true)
+	g.Expect(os.Remove(path)).To(Succeed())
+	h.reload(false)
+	h.reload(false)
 	g.Expect(w.Flush()).To(Succeed())
-	g.Expect(log.String()).To(And(ContainSubstring("settings reloaded"), ContainSubstring("settings not reloaded"),
+	g.Expect(strings.Count(log.String(), "settings reloaded")).To(Equal(1))
+	g.Expect(strings.Count(log.String(), "settings not reloaded")).To(Equal(2))
+	g.Expect(log.String()).To(And(ContainSubstring("applied=[store] ignored=[zone]"),
 		ContainSubstring("flow: reset"), ContainSubstring("malformed packet"), ContainSubstring("routing in force")))
 	cancel()
 	g.Eventually(h.forwarder.Done(), eventually).Should(Receive())
--- a/internal/app/entry/host.go
+++ b/internal/app/entry/host.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -42,33 +43,40 @@
 
 // host is a running host.
 type host struct {
-	settings  platform.Settings
-	common    provider.Common
-	pauses    *provider.PauseClock
-	engine    *engine.Engine
-	learner   *learner.Learner
-	gossiper  *gossiper.Gossiper
-	prober    *prober.Prober
-	forwarder *forwarder.Forwarder
-	responder *responder.Responder
-	reporter  *reporter.Reporter
-	meter     *meter.Meter
-	writer    *writer.Writer
-	loaded    chan struct{}
-	once      sync.Once
-	ctx       context.Context
+	settingsFile *platform.SettingsFile
+	// settings are those in force; reloading guards their change.
+	settings  atomic.Pointer[platform.Settings]
+	reloading sync.Mutex
+	// settingsMissing says that the file could not be read the last time.
+	settingsMissing bool
+	common          provider.Common
+	pauses          *provider.PauseClock
+	engine          *engine.Engine
+	learner         *learner.Learner
+	gossiper        *gossiper.Gossiper
+	prober          *prober.Prober
+	forwarder       *forwarder.Forwarder
+	responder       *responder.Responder
+	reporter        *reporter.Reporter
+	meter           *meter.Meter
+	writer          *writer.Writer
+	loaded          chan struct{}
+	once            sync.Once
+	ctx             context.Context
 }
 
-func newHost(o *options, s *platform.Settings, logger *slog.Logger, w *writer.Writer) (h *host, err error) {
+func newHost(o *options, f *platform.SettingsFile, s *platform.Settings, logger *slog.Logger, w *writer.Writer) (h *host, err error) {
 	var seed [16]byte
 	if _, err := crand.Read(seed[:]); err != nil {
 		return nil, errors.WithStack(err)
 	}
-	h = &host{settings: *s, pauses: provider.NewPauseClock(), writer: w, loaded: make(chan struct{})}
+	h = &host{settingsFile: f, pauses: provider.NewPauseClock(), writer: w, loaded: make(chan struct{})}
+	h.settings.Store(s)
 	h.common = provider.Common{Logger: logger, Clock: h.pauses.Now}
 	self := cactuspin.EntryHost{Address: s.IP, Zone: s.Zone}
 	h.engine = engine.New(engine.Config{
-		Self: self, Seeds: s.Seeds, Bound: min(s.ApplyWithin, s.DrainWithin), MaxFlows: maxFlows,
+		Self: self, MaxFlows: maxFlows,
+		Tuning:      engine.Tuning{Seeds: s.Seeds, Bound: min(s.ApplyWithin, s.DrainWithin)},
 		Incarnation: cactuspin.Incarnation(binary.BigEndian.Uint64(seed[8:])), Seed: binary.BigEndian.Uint64(seed[:]),
 	})
 	h.learner = learner.New(learner.Config{
@@ -83,7 +91,7 @@
 
 // open opens the sockets.
 func (h *host) open(o *options) (err error) {
-	s := &h.settings
+	s := h.settings.Load()
 	h.gossiper, err = gossiper.New(gossiper.Config{
 		Common: h.common, Address: netip.AddrPortFrom(s.IP, s.PeerPort), KnowledgePort: s.KnowledgePort, Engine: h.engine, Handle: h.handle,
 	})
@@ -101,7 +109,7 @@
 }
 
 func (h *host) handlers(o *options) map[netip.AddrPort]http.Handler {
-	s := &h.settings
+	s := h.settings.Load()
 	knowledge := http.NewServeMux()
 	knowledge.Handle("GET "+gossiper.KnowledgePath, h.gossiper)
 	handlers := map[netip.AddrPort]http.Handler{
@@ -149,6 +157,7 @@
 	go h.tick(ctx)
 	h.learner.Start(ctx)
 	go h.measure(ctx)
+	go h.watchSettings(ctx)
 }
 
 func (h *host) tick(ctx context.Context) {
@@ -187,17 +196,6 @@
 	}
 }
 
-// reload checks the settings file when a signal says that it has changed. What
-// a host is and where it listens stays as it was at the start.
-func (h *host) reload(path string) {
-	s, err := platform.LoadSettings(path)
-	if err != nil {
-		h.common.Logger.Error("host: settings not reloaded", slog.Any("error", err))
-		return
-	}
-	h.common.Logger.Info("host: settings reloaded", slog.Bool("store_moved", s.Store != h.settings.Store))
-}
-
 // drain steers on until the fabric no longer sends packets here.
 func (h *host) drain() {
 	h.handle(func(_ cactuspin.Time, out *engine.Actions) { h.engine.Stop(out) })
@@ -206,7 +204,7 @@
 		time.Sleep(stopCheck)
 		now := h.common.Clock()
 		waited := now.Sub(began)
-		if waited > h.settings.StopWithin-stopMargin {
+		if waited > h.settings.Load().StopWithin-stopMargin {
 			return
 		}
 		if waited > noticeTime && now.Sub(h.forwarder.Last()) > quietTime {
--- a/internal/app/entry/operators.go
+++ b/internal/app/entry/operators.go
@@ -52,7 +52,7 @@
 func (h *host) describe() hostStatus {
 	s := h.status()
 	d := hostStatus{
-		Host: h.settings.Name, Zone: string(h.settings.Zone), Build: Build,
+		Host: h.settings.Load().Name, Zone: string(h.settings.Load().Zone), Build: Build,
 		Version: uint64(s.Version), Revision: uint64(s.Revision), Age: s.Age.Seconds(),
 		Targets: s.Targets, Flows: s.Flows, Peers: s.Peers, Reading: s.Reading, Leaving: s.Leaving,
 		Ready: h.engine.Ready(h.common.Clock()), ByReason: map[string]uint64{},
--- a/internal/entry/engine/engine.go
+++ b/internal/entry/engine/engine.go
@@ -35,15 +35,23 @@
 	distrust = 150 * time.Millisecond
 )
 
+// Tuning is what can change while an engine runs.
+type Tuning struct {
+	Seeds []netip.Addr
+	// Bound is the shorter of the bounds on routes and on targets' states.
+	Bound time.Duration
+}
+
+// freshness is the age that knowledge may reach.
+func (t *Tuning) freshness() time.Duration { return t.Bound * freshnessShare / 100 }
+
 // Config configures an engine.
 type Config struct {
+	Tuning
 	Self        cactuspin.EntryHost
 	Incarnation cactuspin.Incarnation
-	Seeds       []netip.Addr
-	// Bound is the shorter of the bounds on routes and on targets' states.
-	Bound    time.Duration
-	MaxFlows int
-	Seed     uint64
+	MaxFlows    int
+	Seed        uint64
 }
 
 // Engine decides for a host. It is safe for concurrent use.
@@ -68,7 +76,7 @@
 
 // New returns an engine that knows nothing yet.
 func New(c Config) *Engine {
-	freshness := c.Bound * freshnessShare / 100
+	freshness := c.freshness()
 	return &Engine{
 		c:       c,
 		keeper:  keeper.New(),
@@ -79,6 +87,15 @@
 	}
 }
 
+// Reconfigure takes a new tuning over.
+func (e *Engine) Reconfigure(t Tuning) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.c.Tuning = t
+	e.planner.Reconfigure(t.Seeds, t.freshness())
+	e.steerer.Reconfigure(t.freshness())
+}
+
 // Steer returns the verdict about a packet.
 func (e *Engine) Steer(now cactuspin.Time, p *cactuspin.Packet) cactuspin.Verdict {
 	return e.steerer.Steer(now, p)
@@ -111,6 +128,9 @@
 	}
 	out.Probes = append(out.Probes, e.steerer.Probes(now)...)
 	plan := e.planner.Tick(now, known, e.store.whole != nil)
+	for _, a := range plan.Silent {
+		out.note(slog.LevelInfo, "peer: silent", slog.String("host", a.String()))
+	}
 	if plan.Read != e.reading {
 		e.reading = plan.Read
 		out.note(slog.LevelInfo, "store: reader changed", slog.Bool("reads", plan.Read), slog.Bool("leader", plan.Leader),
--- a/internal/entry/learner/learner.go
+++ b/internal/entry/learner/learner.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -38,13 +39,26 @@
 
 // Learner calls the store.
 type Learner struct {
-	cfg   Config
-	lease cactuspin.LeaseID
-	done  chan error
+	cfg    Config
+	stores atomic.Pointer[stores]
+	lease  cactuspin.LeaseID
+	done   chan error
 }
 
+// stores are the clients in use; each serves one goroutine.
+type stores struct{ calls, announcements cactuspin.Store }
+
 // New returns a Learner.
-func New(c Config) *Learner { return &Learner{cfg: c, done: make(chan error, 1)} }
+func New(c Config) *Learner {
+	l := &Learner{cfg: c, done: make(chan error, 1)}
+	l.Use(c.Store, c.Announcements)
+	return l
+}
+
+// Use makes further calls with other clients: the store has another address.
+func (l *Learner) Use(calls, announcements cactuspin.Store) {
+	l.stores.Store(&stores{calls: calls, announcements: announcements})
+}
 
 // Call makes a call in the background and hands its answer to the engine.
 func (l *Learner) Call(ctx context.Context, c *engine.StoreCall) {
@@ -59,11 +73,11 @@
 
 func (l *Learner) call(ctx context.Context, c *engine.StoreCall) (cactuspin.Update, error) {
 	if !c.All {
-		return l.cfg.Store.Watch(ctx, c.After, c.Wait)
+		return l.stores.Load().calls.Watch(ctx, c.After, c.Wait)
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return l.cfg.Store.Read(ctx, c.From)
+	return l.stores.Load().calls.Read(ctx, c.From)
 }
 
 // Start keeps this host announced until the context ends, which is reported on
@@ -91,11 +105,12 @@
 func (l *Learner) announce(ctx context.Context) (err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	s := l.stores.Load().announcements
 	if l.lease != 0 {
-		if err = l.cfg.Announcements.Renew(ctx, l.lease); !errors.Is(err, cactuspin.ErrLeaseEnded) {
+		if err = s.Renew(ctx, l.lease); !errors.Is(err, cactuspin.ErrLeaseEnded) {
 			return err
 		}
 	}
-	l.lease, err = l.cfg.Announcements.Announce(ctx, l.cfg.Self, leaseTime)
+	l.lease, err = s.Announce(ctx, l.cfg.Self, leaseTime)
 	return err
 }
--- a/internal/knowledge/planner/planner.go
+++ b/internal/knowledge/planner/planner.go
@@ -69,6 +69,8 @@
 	Read bool
 	// Leader says that this host speaks for its zone.
 	Leader bool
+	// Silent lists the hosts that Hear reported and that were not heard since.
+	Silent []netip.Addr
 }
 
 type peer struct {
@@ -77,6 +79,8 @@
 	heard       cactuspin.Time
 	fetched     cactuspin.Time
 	leaving     bool
+	// reported says that Hear reported the host and Tick has not since.
+	reported bool
 	// age is how old the host's knowledge was when it was heard.
 	age          time.Duration
 	loads, total encoder.Loads
@@ -89,6 +93,8 @@
 	peers     map[netip.Addr]*peer
 	beaconAt  cactuspin.Time
 	readUntil cactuspin.Time
+	// leader says that this host leads its zone.
+	leader bool
 	// begunAt is when a read of everything had its first page, or 0.
 	begunAt cactuspin.Time
 	random  *rand.Rand
@@ -99,6 +105,13 @@
 	return &Planner{c: c, peers: map[netip.Addr]*peer{}, random: rand.New(rand.NewPCG(c.Seed, uint64(c.Incarnation)))}
 }
 
+// Reconfigure takes other seeds and another age that knowledge may reach.
+func (p *Planner) Reconfigure(seeds []netip.Addr, freshness time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.c.Seeds, p.c.Freshness = seeds, freshness
+}
+
 // Learn takes hosts that are said to exist. A host that is still incomplete takes
 // them for alive until they prove silent, so that not all that start at once
 // count themselves first.
@@ -117,8 +130,9 @@
 	}
 }
 
-// Hear takes a beacon. It reports whether its host was not alive before, or is
-// another incarnation.
+// Hear takes a beacon. It reports whether a host from which regular beacons are
+// due, of this zone or another one's leader, was not alive before or is another
+// incarnation.
 func (p *Planner) Hear(now cactuspin.Time, b *encoder.Beacon) (fresh bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -130,7 +144,9 @@
 		x = &peer{}
 		p.peers[b.Host.Address] = x
 	}
-	fresh = x.incarnation != b.Incarnation || now.Sub(x.heard) > aliveFor
+	due := b.Host.Zone == p.c.Self.Zone || p.leader
+	fresh = due && (x.incarnation != b.Incarnation || !x.reported)
+	x.reported = x.reported || due
 	x.EntryHost, x.incarnation, x.heard, x.leaving = b.Host, b.Incarnation, now, b.Leaving
 	x.age, x.loads, x.total = b.Age, b.Loads, b.Total
 	return fresh
@@ -163,10 +179,12 @@
 func (p *Planner) Tick(now cactuspin.Time, known keeper.Position, begun bool) (plan Plan) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.forget(now)
 	zone := p.zoneAlive(now)
 	rank := p.rank(zone)
 	plan.Leader = rank == 0
+	p.leader = plan.Leader
+	plan.Silent = p.fellSilent(now)
+	p.forget(now)
 	plan.Read = p.reads(now, known, rank, begun)
 	if now < p.beaconAt {
 		return plan
@@ -256,6 +274,18 @@
 	return false
 }
 
+// fellSilent returns the reported hosts that are no longer heard.
+func (p *Planner) fellSilent(now cactuspin.Time) (silent []netip.Addr) {
+	for a, x := range p.peers {
+		if x.reported && now.Sub(x.heard) > aliveFor {
+			x.reported = false
+			silent = append(silent, a)
+		}
+	}
+	sort.Slice(silent, func(i, j int) bool { return silent[i].Less(silent[j]) })
+	return silent
+}
+
 func (p *Planner) forget(now cactuspin.Time) {
 	for a, x := range p.peers {
 		if now.Sub(x.heard) > forgetAfter {
--- a/internal/knowledge/planner/planner_test.go
+++ b/internal/knowledge/planner/planner_test.go
@@ -120,3 +120,22 @@
 	_, _, others = member.Loads(now, load(2))
 	g.Expect(others).To(Equal(load(41)))
 }
+
+func TestLostAndRegainedPeersAreReportedOnce(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlanner(host(0, 2))
+	beacon := &encoder.Beacon{Host: host(0, 1), Incarnation: 5, Complete: true}
+	far := &encoder.Beacon{Host: host(1, 1), Incarnation: 6, Complete: true}
+	g.Expect(p.Hear(now, beacon)).To(BeTrue())
+	tick(p, now, 0)
+	g.Expect(p.Hear(now, far)).To(BeFalse(), "another zone's leader speaks to the leader")
+	at := now.Add(time.Second)
+	g.Expect(p.Hear(at, beacon)).To(BeFalse())
+	g.Expect(tick(p, at, 0).Silent).To(BeEmpty())
+	at = at.Add(2 * time.Second)
+	g.Expect(tick(p, at, 0).Silent).To(Equal([]netip.Addr{host(0, 1).Address}))
+	g.Expect(tick(p, at, 0).Silent).To(BeEmpty())
+	g.Expect(p.Hear(at, beacon)).To(BeTrue())
+	beacon.Incarnation = 7
+	g.Expect(p.Hear(at, beacon)).To(BeTrue(), "it was started again")
+}
--- a/internal/steering/steerer/steerer.go
+++ b/internal/steering/steerer/steerer.go
@@ -48,7 +48,9 @@
 	// confirmed and settled are moments of the knowledge that is in use.
 	confirmed atomic.Int64
 	settled   atomic.Int64
-	counters  [verdictReasons]atomic.Uint64
+	// staleAfter is the age in nanoseconds from which knowledge refuses nothing.
+	staleAfter atomic.Int64
+	counters   [verdictReasons]atomic.Uint64
 }
 
 // verdictReasons is the number of reasons that a verdict can have.
@@ -69,9 +71,13 @@
 		targets:  map[cactuspin.TargetID]*target{},
 	}
 	s.flows.init(c.MaxFlows, c.Seed)
+	s.Reconfigure(c.StaleAfter)
 	return s
 }
 
+// Reconfigure takes another age from which knowledge refuses nothing.
+func (s *Steerer) Reconfigure(staleAfter time.Duration) { s.staleAfter.Store(int64(staleAfter)) }
+
 // Refresh takes how fresh the knowledge is.
 func (s *Steerer) Refresh(now cactuspin.Time, p keeper.Position) {
 	s.confirmed.Store(int64(now.Add(-p.Age)))
@@ -187,7 +193,7 @@
 // old to be sure.
 func (s *Steerer) refuse(now cactuspin.Time, p *cactuspin.Packet, v cactuspin.Verdict, why cactuspin.VerdictReason) cactuspin.Verdict {
 	v.Kind, v.Reason = cactuspin.VerdictReset, why
-	stale := now.Sub(cactuspin.Time(s.confirmed.Load())) > s.c.StaleAfter
+	stale := now.Sub(cactuspin.Time(s.confirmed.Load())) > time.Duration(s.staleAfter.Load())
 	if stale || p.Flags&cactuspin.FlagRST != 0 {
 		v.Kind = cactuspin.VerdictDrop
 	}
