Send new flows around targets that fail though they seem well

Cause: a target that registers as ready, answers probes and fails all it is asked looks idle to hosts, since requests end at once or count as answered, and so gets more than its share. Ruled out: health calls (a slot each, and they lie); the evidence of one host alone (a host of 66 has one answer of a target in five seconds). Change: a host takes the bytes that a caller acknowledges of an answer; a third of the mean of the route or less is a failure, as is silence of a second after a request that arrived. Failures fade with a half-life of eight seconds, travel in the beacons (a byte a target) and add load to their target where it has far more than the middle one of its zone. So what fails everywhere, as in a flood, changes nothing. A zone whose best target fails sends new flows to another one.

--- a/internal/entry/engine/peers.go
+++ b/internal/entry/engine/peers.go
@@ -14,7 +14,10 @@
 func (e *Engine) tell(now cactuspin.Time, plan *planner.Plan, out *Actions) {
 	own := e.steerer.Loads()
 	zone, total, others := e.planner.Loads(now, own)
-	e.steerer.ShareLoads(others)
+	for _, x := range e.steerer.ShareLoads(others) {
+		out.note(slog.LevelInfo, "target: failing changed", slog.String("target", string(x.Target)),
+			slog.Bool("failing", x.Failing), slog.Float64("failures", x.Failures))
+	}
 	b := e.beacon(now)
 	b.Answer = !b.Complete
 	near, far := b, b
--- a/internal/knowledge/encoder/encoder.go
+++ b/internal/knowledge/encoder/encoder.go
@@ -17,8 +17,12 @@
 // Ethernet frame.
 const MaxDatagram = 1400
 
-// BusyScale is the unit of TargetLoad.Busy: sixteenths of a request.
-const BusyScale = 16
+const (
+	// BusyScale is the unit of TargetLoad.Busy: sixteenths of a request.
+	BusyScale = 16
+	// FailedScale is the unit of TargetLoad.Failed: quarters of a request.
+	FailedScale = 4
+)
 
 // TargetLoad is what hosts have in progress at a target.
 type TargetLoad struct {
@@ -27,12 +31,15 @@
 	Busy uint16
 	// Flows is the number of open flows.
 	Flows uint16
+	// Failed is the number of requests that failed lately, in units of
+	// 1/FailedScale; what is above its range counts as its end.
+	Failed uint8
 }
 
-// Loads are the loads of targets. On the wire they are eight bytes each.
+// Loads are the loads of targets. On the wire they are nine bytes each.
 type Loads []TargetLoad
 
-const loadLength = 8
+const loadLength = 9
 
 // MarshalBinary returns the form on the wire.
 func (l Loads) MarshalBinary() ([]byte, error) {
@@ -41,6 +48,7 @@
 		b = binary.BigEndian.AppendUint32(b, uint32(x.Cookie))
 		b = binary.BigEndian.AppendUint16(b, x.Busy)
 		b = binary.BigEndian.AppendUint16(b, x.Flows)
+		b = append(b, x.Failed)
 	}
 	return b, nil
 }
@@ -56,6 +64,7 @@
 			Cookie: cactuspin.Cookie(binary.BigEndian.Uint32(b)),
 			Busy:   binary.BigEndian.Uint16(b[4:]),
 			Flows:  binary.BigEndian.Uint16(b[6:]),
+			Failed: b[8],
 		})
 	}
 	return nil
--- a/internal/knowledge/planner/planner.go
+++ b/internal/knowledge/planner/planner.go
@@ -6,6 +6,7 @@
 package planner
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -412,6 +413,7 @@
 		x.Cookie = l.Cookie
 		x.Busy += l.Busy
 		x.Flows += l.Flows
+		x.Failed = uint8(min(math.MaxUint8, int(x.Failed)+int(l.Failed)))
 		s[l.Cookie] = x
 	}
 }
@@ -435,6 +437,7 @@
 		m := mine[x.Cookie]
 		x.Busy -= min(x.Busy, m.Busy)
 		x.Flows -= min(x.Flows, m.Flows)
+		x.Failed -= min(x.Failed, m.Failed)
 		rest = append(rest, x)
 	}
 	return rest
--- a/internal/standin/simulator/caller.go
+++ b/internal/standin/simulator/caller.go
@@ -16,6 +16,7 @@
 	firstRetry    = 200 * time.Millisecond
 	requestLength = 100
 	answerLength  = 4000
+	errorLength   = 180
 )
 
 // caller makes requests: an idempotent one keeps its connection open.
@@ -195,6 +196,17 @@
 	}
 }
 
+// refused takes an error from a target.
+func (c *connection) refused(t *target, r *request) {
+	if c.ended || c.current != r || c.target != t {
+		return
+	}
+	c.received += errorLength
+	c.close()
+	c.current = nil
+	c.caller.retry(r)
+}
+
 // reset takes a reset of a host or of a target.
 func (c *connection) reset(h *host, t *target, why cactuspin.VerdictReason) {
 	if c.ended {
--- a/internal/standin/simulator/strikes.go
+++ b/internal/standin/simulator/strikes.go
@@ -137,6 +137,7 @@
 		"target_restart":   func(f *Fault) { s.eachTarget(f, s.restartTarget) },
 		"target_reuse":     func(f *Fault) { s.eachTarget(f, s.reuseTarget) },
 		"target_add":       func(f *Fault) { s.eachTarget(f, s.addBeside) },
+		"target_fails":     func(f *Fault) { s.eachTarget(f, func(t *target) { s.failTarget(t, f) }) },
 		"target_stall":     func(f *Fault) { s.eachTarget(f, func(t *target) { s.stallTarget(t, f) }) },
 		"target_store_cut": func(f *Fault) { s.eachTarget(f, s.lapseTarget) },
 	}
@@ -271,6 +272,12 @@
 
 // stallTarget makes a target take everything late, so that copies of first
 // packets are sent while it answers the first.
+// failTarget makes a target that is well fail what it is asked.
+func (s *Simulation) failTarget(t *target, f *Fault) {
+	t.fails = f.How
+	s.after(f.For.Duration, func() { t.fails = "" })
+}
+
 func (s *Simulation) stallTarget(t *target, f *Fault) {
 	t.stall = 300 * time.Millisecond
 	s.oracle.disturb(t)
--- a/internal/standin/simulator/target.go
+++ b/internal/standin/simulator/target.go
@@ -26,6 +26,9 @@
 	queue          []func()
 	// stall delays all that reaches the target.
 	stall time.Duration
+	// fails says how the target fails each request, though it is well: "errors",
+	// "reset" or "mute".
+	fails string
 	// drainAt is when the store acknowledged that the target drains or is gone.
 	drainAt cactuspin.Time
 }
@@ -62,6 +65,10 @@
 		return
 	}
 	r.taken = t
+	if t.fails != "" {
+		t.fail(c, r)
+		return
+	}
 	run := func() { t.run(c, r) }
 	if t.busy < slots {
 		run()
@@ -75,6 +82,18 @@
 	t.queue = append(t.queue, run)
 }
 
+// fail fails a request at once.
+func (t *target) fail(c *connection, r *request) {
+	t.sim.oracle.ran(t, r)
+	switch t.fails {
+	case "errors":
+		t.sim.after(t.sim.callerWay(), func() { c.refused(t, r) })
+	case "reset":
+		delete(t.flows, c)
+		t.sim.after(t.sim.callerWay(), func() { c.reset(nil, t, 0) })
+	}
+}
+
 func (t *target) run(c *connection, r *request) {
 	t.busy++
 	t.sim.oracle.ran(t, r)
--- a/internal/steering/steerer/active.go
+++ b/internal/steering/steerer/active.go
@@ -7,7 +7,7 @@
 	"github.com/cactuspin/cactuspin"
 )
 
-// negligible is a running mean of busy that counts as none.
+// negligible is a running mean of busy or failed requests that counts as none.
 const negligible = 0.01
 
 // activeSet holds the targets that this host sends flows to or suspects, so that
@@ -50,9 +50,10 @@
 	defer a.mu.Unlock()
 	a.targets = slices.DeleteFunc(a.targets, func(t *target) bool {
 		t.meanBusy += (float64(t.busy.Load()) - t.meanBusy) * busyWeight
-		idle := t.flows.Load() == 0 && t.meanBusy < negligible && (t.health.settled() || t.ended(now))
+		t.settle()
+		idle := t.flows.Load() == 0 && t.meanBusy < negligible && t.failed < negligible && (t.health.settled() || t.ended(now))
 		if idle {
-			t.meanBusy = 0
+			t.meanBusy, t.failed = 0, 0
 			t.active.Store(false)
 		}
 		return idle
--- a/internal/steering/steerer/flow.go
+++ b/internal/steering/steerer/flow.go
@@ -46,8 +46,11 @@
 	// caller has received.
 	sent, acknowledged uint32
 	opened             bool
-	// timeout is how long callers of the route wait for an answer.
-	timeout time.Duration
+	// pending says that the answer to the last request is not complete as far as
+	// is known, base what was acknowledged before it.
+	pending bool
+	base    uint32
+	route   *route
 }
 
 // flowTable holds the remembered flows.
@@ -82,10 +85,10 @@
 func keyOf(p *cactuspin.Packet) flowKey { return flowKey{endpointOf(p.Caller), endpointOf(p.Service)} }
 
 // open remembers that the first packet of a flow goes to t.
-func (h *flowShard) open(now cactuspin.Time, p *cactuspin.Packet, t *target, timeout time.Duration) {
+func (h *flowShard) open(now cactuspin.Time, p *cactuspin.Packet, t *target, r *route) {
 	f := h.flows[keyOf(p)]
 	if f == nil {
-		f = &flow{timeout: timeout}
+		f = &flow{route: r}
 		h.add(p, f)
 	}
 	f.join(t)
@@ -104,10 +107,10 @@
 }
 
 // touch returns the flow of a packet that goes to t.
-func (h *flowShard) touch(now cactuspin.Time, p *cactuspin.Packet, t *target, timeout time.Duration) *flow {
+func (h *flowShard) touch(now cactuspin.Time, p *cactuspin.Packet, t *target, r *route) *flow {
 	f := h.flows[keyOf(p)]
 	if f == nil {
-		f = &flow{sent: p.Sequence, acknowledged: p.Acknowledgement, opened: true, timeout: timeout}
+		f = &flow{sent: p.Sequence, acknowledged: p.Acknowledgement, opened: true, route: r}
 		h.add(p, f)
 	}
 	f.join(t)
@@ -163,10 +166,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for k, f := range h.flows {
+		f.fallSilent(now)
 		if f.requested != 0 && f.answered(now) {
 			f.finish()
 		}
-		if f.requested != 0 && now.Sub(f.requested) > f.timeout {
+		if f.requested != 0 && now.Sub(f.requested) > f.route.Timeout {
 			if len(lost) < maxUnanswered {
 				lost = append(lost, Unanswered{Caller: k.caller.addrPort(), Service: k.service.addrPort(), Target: f.target.registered.ID, Waited: now.Sub(f.requested)})
 			}
@@ -197,6 +201,7 @@
 	}
 	f.observeData(now, p, v)
 	if p.Flags&(cactuspin.FlagRST|cactuspin.FlagFIN) != 0 {
+		f.conclude(p.Acknowledgement)
 		f.leave()
 	}
 }
@@ -213,6 +218,8 @@
 	f.sent, f.dataAt = end, now
 	if f.requested == 0 {
 		v.Request = true
+		f.conclude(p.Acknowledgement)
+		f.pending, f.base = true, p.Acknowledgement
 		f.requested, f.repeats = now, 0
 		f.target.busy.Add(1)
 	}
@@ -259,6 +266,7 @@
 		return
 	}
 	f.finish()
+	f.pending = false
 	f.target.flows.Add(-1)
 	f.target = nil
 }
--- a/internal/steering/steerer/service.go
+++ b/internal/steering/steerer/service.go
@@ -1,6 +1,7 @@
 package steerer
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"sort"
@@ -52,31 +53,32 @@
 }
 
 // choose returns the target of a new flow of callers in the zone home. Targets
-// that seem dead are used only if there is no other.
+// that fail much more than others are used only if there is no other, those that
+// seem dead last.
 func (v *service) choose(now cactuspin.Time, home cactuspin.ZoneID, not *target, random *rand.Rand) *target {
-	var suspect *target
+	var failing, suspect *target
 	if z := v.startZone(home, random); z != nil {
 		t, s := z.choose(now, not, random)
-		if t != nil {
+		if t != nil && !t.failing() {
 			return t
 		}
-		suspect = s
+		failing, suspect = t, s
 	}
 	var best *target
 	lowest := math.Inf(1)
 	for _, z := range v.zones {
 		t, s := z.choose(now, not, random)
-		if t != nil && z.use < lowest {
+		if t != nil && !t.failing() && z.use < lowest {
 			best, lowest = t, z.use
 		}
+		if failing == nil {
+			failing = t
+		}
 		if suspect == nil {
 			suspect = s
 		}
 	}
-	if best == nil {
-		return suspect
-	}
-	return best
+	return cmp.Or(best, failing, suspect)
 }
 
 // startZone returns home, or now and then the least used zone if home is
@@ -151,7 +153,7 @@
 	if now < t.warmUntil {
 		l = (l + 1/slots) * coldPenalty
 	}
-	return l
+	return l + t.failureLoad
 }
 
 // measure takes the loads of other hosts into the use of the zones.
--- a/internal/steering/steerer/steerer.go
+++ b/internal/steering/steerer/steerer.go
@@ -5,6 +5,7 @@
 package steerer
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -60,7 +61,13 @@
 type routeTable struct {
 	version cactuspin.RoutingVersion
 	idle    time.Duration
-	routes  map[endpoint]*cactuspin.Route
+	routes  map[endpoint]*route
+}
+
+// route is a route with what its answers usually take.
+type route struct {
+	*cactuspin.Route
+	answers *answerSizes
 }
 
 // New returns a steerer without knowledge; it drops everything.
@@ -104,9 +111,15 @@
 }
 
 func (s *Steerer) setRouting(r *cactuspin.Routing) {
-	t := &routeTable{version: r.Version, idle: r.IdleTimeout, routes: make(map[endpoint]*cactuspin.Route, len(r.Routes))}
+	t := &routeTable{version: r.Version, idle: r.IdleTimeout, routes: make(map[endpoint]*route, len(r.Routes))}
+	old := s.routes.Load()
 	for i := range r.Routes {
-		t.routes[endpointOf(r.Routes[i].Address)] = &r.Routes[i]
+		e := endpointOf(r.Routes[i].Address)
+		x := &route{Route: &r.Routes[i], answers: &answerSizes{}}
+		if old != nil && old.routes[e] != nil {
+			x.answers = old.routes[e].answers
+		}
+		t.routes[e] = x
 	}
 	s.routes.Store(t)
 }
@@ -201,7 +214,7 @@
 }
 
 // follow leads a packet of an open flow to the target that its cookie names.
-func (s *Steerer) follow(now cactuspin.Time, p *cactuspin.Packet, h *flowShard, route *cactuspin.Route, v cactuspin.Verdict) cactuspin.Verdict {
+func (s *Steerer) follow(now cactuspin.Time, p *cactuspin.Packet, h *flowShard, route *route, v cactuspin.Verdict) cactuspin.Verdict {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	t := h.opened(p)
@@ -216,7 +229,7 @@
 		return s.refuse(now, p, v, cactuspin.ReasonUnknownCookie)
 	}
 	s.active.add(t)
-	f := h.touch(now, p, t, route.Timeout)
+	f := h.touch(now, p, t, route)
 	f.observe(now, p, &v)
 	if t.ended(now) {
 		f.leave()
@@ -235,7 +248,7 @@
 }
 
 // find returns the target of a cookie among the services of a route.
-func (s *Steerer) find(route *cactuspin.Route, c cactuspin.Cookie) *target {
+func (s *Steerer) find(route *route, c cactuspin.Cookie) *target {
 	if c == 0 {
 		return nil
 	}
@@ -250,7 +263,7 @@
 }
 
 // open places the first packet of a flow, or a copy of it.
-func (s *Steerer) open(now cactuspin.Time, p *cactuspin.Packet, h *flowShard, route *cactuspin.Route, v cactuspin.Verdict) cactuspin.Verdict {
+func (s *Steerer) open(now cactuspin.Time, p *cactuspin.Packet, h *flowShard, route *route, v cactuspin.Verdict) cactuspin.Verdict {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	f := h.flows[keyOf(p)]
@@ -265,7 +278,7 @@
 		return s.refuse(now, p, v, cactuspin.ReasonNoTarget)
 	}
 	s.active.add(t)
-	h.open(now, p, t, route.Timeout)
+	h.open(now, p, t, route)
 	v.Kind, v.Cookie = cactuspin.VerdictForward, t.cookie
 	t.fill(&v)
 	return v
@@ -274,7 +287,7 @@
 // placeCopy decides where the copy of a first packet goes. The caller has not
 // had an answer: the target is tried again while it shows life, since two
 // targets that both answer can confuse the flow.
-func (s *Steerer) placeCopy(now cactuspin.Time, h *flowShard, f *flow, route *cactuspin.Route) (*target, cactuspin.VerdictReason) {
+func (s *Steerer) placeCopy(now cactuspin.Time, h *flowShard, f *flow, route *route) (*target, cactuspin.VerdictReason) {
 	t := f.target
 	if !t.usable(now) {
 		return s.place(now, h, route, nil), cactuspin.ReasonCopyOther
@@ -289,7 +302,7 @@
 }
 
 // place chooses a target for a new flow of a route.
-func (s *Steerer) place(now cactuspin.Time, h *flowShard, route *cactuspin.Route, not *target) *target {
+func (s *Steerer) place(now cactuspin.Time, h *flowShard, route *route, not *target) *target {
 	v := s.service(h, route)
 	if v == nil {
 		return nil
@@ -298,7 +311,7 @@
 }
 
 // service chooses the service of a new flow by the weights of the route.
-func (s *Steerer) service(h *flowShard, route *cactuspin.Route) *service {
+func (s *Steerer) service(h *flowShard, route *route) *service {
 	if len(route.Services) == 1 {
 		return s.services[route.Services[0].Service]
 	}
@@ -325,15 +338,27 @@
 	defer s.mu.Unlock()
 	for _, t := range s.active.list() {
 		flows, busy := t.flows.Load(), t.meanBusy
-		if t.goneAt == 0 && (flows > 0 || busy > 0) {
-			loads = append(loads, encoder.TargetLoad{Cookie: t.cookie, Flows: uint16(max(0, flows)), Busy: uint16(busy * encoder.BusyScale)})
+		if t.goneAt == 0 && (flows > 0 || busy > 0 || t.failed > 0) {
+			loads = append(loads, encoder.TargetLoad{
+				Cookie: t.cookie, Flows: uint16(max(0, flows)), Busy: uint16(busy * encoder.BusyScale),
+				Failed: uint8(min(math.MaxUint8, t.failed*encoder.FailedScale)),
+			})
 		}
 	}
 	return loads
 }
 
-// ShareLoads takes what other hosts have in progress at the targets.
-func (s *Steerer) ShareLoads(others encoder.Loads) {
+// Failing is a target that began or ceased to fail much more than others.
+type Failing struct {
+	Target cactuspin.TargetID
+	// Failures is what all hosts have seen in the last seconds.
+	Failures float64
+	Failing  bool
+}
+
+// ShareLoads takes what other hosts have in progress at the targets, and what
+// failed there. It returns the targets that began or ceased to count as failing.
+func (s *Steerer) ShareLoads(others encoder.Loads) (changed []Failing) {
 	byCookie := make(map[cactuspin.Cookie]encoder.TargetLoad, len(others))
 	for _, l := range others {
 		byCookie[l.Cookie] = l
@@ -342,7 +367,11 @@
 	defer s.mu.Unlock()
 	for v := range s.active.services() {
 		v.measure(byCookie)
+		for _, t := range v.compareFailures(byCookie) {
+			changed = append(changed, Failing{Target: t.registered.ID, Failures: t.pooled, Failing: t.failing()})
+		}
 	}
+	return changed
 }
 
 // Verdicts returns how often each reason decided.
--- a/internal/steering/steerer/target.go
+++ b/internal/steering/steerer/target.go
@@ -30,6 +30,11 @@
 	// meanBusy is the running mean of busy over some ten ticks.
 	meanBusy float64
 	health   health
+	// failures counts requests that failed since the last tick, failed is what
+	// is left of earlier ones; pooled is that of all hosts, and failureLoad the load
+	// that it adds.
+	failures                    atomic.Int32
+	failed, pooled, failureLoad float64
 	// active says that the target is in the set of active ones.
 	active atomic.Bool
 }
@@ -50,6 +55,7 @@
 func (t *target) update(now cactuspin.Time, r *cactuspin.RegisteredTarget) {
 	if r.Started != t.registered.Started {
 		t.health.live(now)
+		t.failed = 0
 	}
 	t.registered = *r
 	t.warmUntil = now.Add(r.Warmup)
