--- a/Makefile
+++ b/Makefile
@@ -53,3 +53,7 @@
 load: build
 	bash demo/load.sh 10000
 	LOG_LEVEL=warn bash demo/load.sh 10000
+
+# A page with plots of all scores in journal/: bin/report.html.
+report: build
+	bin/cactuspin-standin report
--- a/internal/app/standin/standin.go
+++ b/internal/app/standin/standin.go
@@ -52,6 +52,7 @@
 	add(floods(a, out))
 	add(balance(a, out))
 	add(ends(a, out))
+	add(report(a, out))
 	a.UsageWriter(out)
 	name, done, err := parser.Parse(a, args)
 	if done {
