--- a/demo/packets.sh
+++ b/demo/packets.sh
@@ -5,20 +5,8 @@
 # changes. The last line is one JSON object; exits 0 when every promise held.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-work=$(mktemp -d)
-pids=()
-end() {
-  local status=$?
-  kill "${pids[@]}" 2>/dev/null || true
-  wait 2>/dev/null || true
-  if [ -n "${KEEP_LOGS:-}" ]; then
-    echo "logs are in $work"
-  else
-    rm -rf "$work"
-  fi
-  exit "$status"
-}
-trap end EXIT
+# shellcheck source=demo/common.sh
+source demo/common.sh
 start_host() { # NUMBER
   bin/cactuspin-entry --settings "$work/host-$1.yaml" >>"$work/host-$1.log" 2>&1 &
   pids+=($!)
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -8,20 +8,8 @@
 # shellcheck source=/dev/null
 source "demo/${1:-lima}.env"
 bin=bin
-work=$(mktemp -d)
-pids=()
-end() {
-  local status=$?
-  kill "${pids[@]}" 2>/dev/null || true
-  wait 2>/dev/null || true
-  if [ -n "${KEEP_LOGS:-}" ]; then
-    echo "logs are in $work"
-  else
-    rm -rf "$work"
-  fi
-  exit "$status"
-}
-trap end EXIT
+# shellcheck source=demo/common.sh
+source demo/common.sh
 start() { # NAME COMMAND...
   local name=$1
   shift
--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -118,14 +118,14 @@
 	g.Expect(n).To(Equal(31))
 	g.Expect(b[20]).To(Equal(byte(64)), "no route leads there")
 
-	text, err := get(address + ":8166" + statusPath)
+	text, err := get(address + ":8166" + cactuspin.EntryStatusPath)
 	g.Expect(err).NotTo(HaveOccurred())
 	var status hostStatus
 	g.Expect(json.Unmarshal([]byte(strings.TrimPrefix(text, "200 OK ")), &status)).To(Succeed())
 	g.Expect(status.Version).To(Equal(uint64(7)))
 	g.Expect(status.ByReason).To(HaveKeyWithValue("placed", uint64(1)))
-	g.Expect(get(address + ":8166" + explainPath + "?caller=127.77.0.7:40001&service=198.18.0.1:443")).To(ContainSubstring("i-0000000a"))
-	g.Expect(get(address + ":8166" + explainPath + "?caller=x")).To(HavePrefix("400"))
+	g.Expect(get(address + ":8166" + cactuspin.EntryExplainPath + "?caller=127.77.0.7:40001&service=198.18.0.1:443")).To(ContainSubstring("i-0000000a"))
+	g.Expect(get(address + ":8166" + cactuspin.EntryExplainPath + "?caller=x")).To(HavePrefix("400"))
 	g.Eventually(func() (string, error) {
 		h.meter.Measure(40 * time.Millisecond)
 		return get(address + ":9464/metrics")
--- a/internal/app/entry/operators.go
+++ b/internal/app/entry/operators.go
@@ -5,12 +5,8 @@
 	"log/slog"
 	"net/http"
 	"net/netip"
-)
 
-// Paths of the operators' interface.
-const (
-	statusPath  = "/v1/entry/status"
-	explainPath = "/v1/entry/explain"
+	"github.com/cactuspin/cactuspin"
 )
 
 // hostStatus is what a host tells operators. Durations are in seconds.
@@ -36,8 +32,8 @@
 // newOperators serves status and explanations. Nothing here changes the host.
 func newOperators(h *host) http.Handler {
 	m := http.NewServeMux()
-	m.HandleFunc("GET "+statusPath, func(w http.ResponseWriter, _ *http.Request) { h.answer(w, h.describe()) })
-	m.HandleFunc("GET "+explainPath, func(w http.ResponseWriter, r *http.Request) {
+	m.HandleFunc("GET "+cactuspin.EntryStatusPath, func(w http.ResponseWriter, _ *http.Request) { h.answer(w, h.describe()) })
+	m.HandleFunc("GET "+cactuspin.EntryExplainPath, func(w http.ResponseWriter, r *http.Request) {
 		caller, e1 := netip.ParseAddrPort(r.URL.Query().Get("caller"))
 		service, e2 := netip.ParseAddrPort(r.URL.Query().Get("service"))
 		if e1 != nil || e2 != nil {
--- a/internal/app/operator/trace_command.go
+++ b/internal/app/operator/trace_command.go
@@ -11,6 +11,7 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
 
+	"github.com/cactuspin/cactuspin"
 	"github.com/cactuspin/cactuspin/internal/diagnosis/tracer"
 )
 
@@ -68,20 +69,14 @@
 	return c
 }
 
-// Paths of a host's interface for operators.
-const (
-	entryStatusPath  = "/v1/entry/status"
-	entryExplainPath = "/v1/entry/explain"
-)
-
 func (k *entryCommand) run(ctx context.Context, c console) (err error) {
 	defer func() { err = errors.Wrap(err, "ask host") }()
-	u := url.URL{Scheme: "http", Host: k.host, Path: entryStatusPath}
+	u := url.URL{Scheme: "http", Host: k.host, Path: cactuspin.EntryStatusPath}
 	if (k.caller == "") != (k.service == "") {
 		return errors.New("--caller and --service go together")
 	}
 	if k.caller != "" {
-		u.Path = entryExplainPath
+		u.Path = cactuspin.EntryExplainPath
 		u.RawQuery = url.Values{"caller": {k.caller}, "service": {k.service}}.Encode()
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/knowledge/planner/planner.go
+++ b/internal/knowledge/planner/planner.go
@@ -6,10 +6,8 @@
 package planner
 
 import (
-	"math"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -37,16 +35,6 @@
 	keepReading = 3 * time.Second
 	// fetchInterval is the least time between two fetches from the same peer.
 	fetchInterval = 100 * time.Millisecond
-	// searchInterval is the time between the beacons of a host that knows nothing
-	// yet and asks others for what they know.
-	searchInterval = 150 * time.Millisecond
-	// searched is how many hosts of the zone such a host asks beside the first ones.
-	searched = 2
-	// declinedFor is how long about a peer that gave no update is left alone.
-	declinedFor = 400 * time.Millisecond
-	// othersFirst is how long hosts past the listeners wait for a peer's update when
-	// the store holds more than a page: a few times what reading it all takes.
-	othersFirst = 500 * time.Millisecond
 	// unknownAge is the age of the knowledge of a host that was not heard yet.
 	unknownAge = time.Hour
 )
@@ -165,16 +153,6 @@
 	return true
 }
 
-// Declined takes word that a host gave no update: it is asked again later, by
-// each host at another time.
-func (p *Planner) Declined(now cactuspin.Time, host netip.Addr) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if x := p.peers[host]; x != nil {
-		x.fetched = now.Add(declinedFor/2 + time.Duration(p.random.Int64N(int64(declinedFor))))
-	}
-}
-
 // Tick returns what is to be done now. begun says that the host has read a page
 // of the store's content and that there are more.
 func (p *Planner) Tick(now cactuspin.Time, known keeper.Position, begun bool) (plan Plan) {
@@ -232,35 +210,6 @@
 	return now < p.readUntil
 }
 
-// readsWhole tells whether a host without knowledge reads on. All read the first
-// page, which is the only one at a small site. Of the rest, each zone's first
-// hosts read all; the others only if no peer has given it to them in time.
-func (p *Planner) readsWhole(now cactuspin.Time, rank int, begun bool) bool {
-	if !begun {
-		p.begunAt = 0
-		return true
-	}
-	if p.begunAt == 0 {
-		p.begunAt = now
-	}
-	return rank < listeners || now.Sub(p.begunAt) > othersFirst+time.Duration(rank)*rankDelay
-}
-
-// asked returns whom a host without knowledge asks in its zone: the first hosts,
-// and some by chance, who may have got it from them.
-func (p *Planner) asked(alive []netip.Addr) []netip.Addr {
-	if len(alive) <= listeners+searched {
-		return p.zoneKnown()
-	}
-	rest := alive[listeners:]
-	first := p.random.IntN(len(rest))
-	to := slices.Clone(alive[:listeners])
-	for i := range searched {
-		to = append(to, rest[(first+i)%len(rest)])
-	}
-	return to
-}
-
 // fresherLeader tells whether another zone's leader comes before this one.
 func (p *Planner) fresherLeader(now cactuspin.Time, age time.Duration) bool {
 	for a, x := range p.peers {
@@ -315,16 +264,6 @@
 	return alive[:listeners]
 }
 
-// unheardSeeds returns the seeds that are not known yet.
-func (p *Planner) unheardSeeds() (to []netip.Addr) {
-	for _, a := range p.c.Seeds {
-		if a != p.c.Self.Address && p.peers[a] == nil {
-			to = append(to, a)
-		}
-	}
-	return to
-}
-
 func (p *Planner) zoneKnown() (known []netip.Addr) {
 	for a, x := range p.peers {
 		if x.Zone == p.c.Self.Zone {
@@ -375,74 +314,6 @@
 	return to
 }
 
-// Loads returns what this host's beacons say of loads, own being what it has in
-// progress: zone is the sum of this zone, total that of all hosts, and others
-// what other hosts have.
-func (p *Planner) Loads(now cactuspin.Time, own encoder.Loads) (zone, total, others encoder.Loads) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	alive := p.zoneAlive(now)
-	if len(alive) > 0 && alive[0].Less(p.c.Self.Address) {
-		return nil, nil, subtract(p.peers[alive[0]].total, own)
-	}
-	sum := sums{}
-	for _, a := range alive {
-		sum.add(p.peers[a].loads)
-	}
-	zonePeers := sum.list()
-	for _, x := range p.peers {
-		if x.Zone != p.c.Self.Zone && now.Sub(x.heard) <= aliveFor {
-			sum.add(x.loads)
-		}
-	}
-	others = sum.list()
-	sum.add(own)
-	total = sum.list()
-	sum = sums{}
-	sum.add(zonePeers)
-	sum.add(own)
-	return sum.list(), total, others
-}
-
-// sums adds up loads by target.
-type sums map[cactuspin.Cookie]encoder.TargetLoad
-
-func (s sums) add(loads encoder.Loads) {
-	for _, l := range loads {
-		x := s[l.Cookie]
-		x.Cookie = l.Cookie
-		x.Busy += l.Busy
-		x.Flows += l.Flows
-		x.Failed = uint8(min(math.MaxUint8, int(x.Failed)+int(l.Failed)))
-		s[l.Cookie] = x
-	}
-}
-
-// list returns the sums in the order of their cookies.
-func (s sums) list() encoder.Loads {
-	l := make(encoder.Loads, 0, len(s))
-	for _, x := range s {
-		l = append(l, x)
-	}
-	sort.Slice(l, func(i, j int) bool { return l[i].Cookie < l[j].Cookie })
-	return l
-}
-
-// subtract returns total without own.
-func subtract(total, own encoder.Loads) encoder.Loads {
-	mine := sums{}
-	mine.add(own)
-	rest := make(encoder.Loads, 0, len(total))
-	for _, x := range total {
-		m := mine[x.Cookie]
-		x.Busy -= min(x.Busy, m.Busy)
-		x.Flows -= min(x.Flows, m.Flows)
-		x.Failed -= min(x.Failed, m.Failed)
-		rest = append(rest, x)
-	}
-	return rest
-}
-
 // Alive returns how many other hosts are heard.
 func (p *Planner) Alive(now cactuspin.Time) (n int) {
 	p.mu.Lock()
--- a/steering.go
+++ b/steering.go
@@ -124,6 +124,12 @@
 // The empty one is the beginning.
 type Cursor string
 
+// Paths of the interface that a host of the packet path has for operators.
+const (
+	EntryStatusPath  = "/v1/entry/status"
+	EntryExplainPath = "/v1/entry/explain"
+)
+
 // EntryHost is a host of the packet path as it announces itself.
 type EntryHost struct {
 	Address netip.Addr `cbor:"1,keyasint" json:"address"`
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -20,6 +20,7 @@
 	"testing"
 	"time"
 
+	"github.com/cactuspin/cactuspin"
 	"github.com/cactuspin/cactuspin/internal/standin/packeteer"
 )
 
@@ -231,7 +232,7 @@
 func version(ctx context.Context, a netip.AddrPort) uint64 {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+"/v1/entry/status", nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+cactuspin.EntryStatusPath, nil)
 	if err != nil {
 		return 0
 	}
