Tell loads by service and zone, not by target

Cause: beacons listed what is in progress at each target, though only the sum of a service's targets in a zone is used. At the 7,279th target a beacon would not have fitted into a datagram at all, and hosts would have stopped hearing each other. Ruled out: telling less often (use of a zone then lags behind a flood); a tree (the amount stays). Change: a load's subject is a service in a zone, or a target that failed requests; at most 70 a beacon, failures first, then what is busiest.

--- a/internal/entry/engine/peers.go
+++ b/internal/entry/engine/peers.go
@@ -21,8 +21,8 @@
 	b := e.beacon(now)
 	b.Answer = !b.Complete
 	near, far := b, b
-	near.Loads, near.Total = own, total
-	far.Loads = zone
+	near.Loads, near.Total = own.Largest(), total.Largest()
+	far.Loads = zone.Largest()
 	out.send(plan.Tell, encoder.Datagram{Beacon: &near})
 	out.send(plan.Leaders, encoder.Datagram{Beacon: &far})
 }
--- a/internal/knowledge/encoder/encoder.go
+++ b/internal/knowledge/encoder/encoder.go
@@ -4,7 +4,9 @@
 package encoder
 
 import (
+	"cmp"
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -18,15 +20,23 @@
 const MaxDatagram = 1400
 
 const (
-	// BusyScale is the unit of TargetLoad.Busy: sixteenths of a request.
+	// BusyScale is the unit of Load.Busy: sixteenths of a request.
 	BusyScale = 16
-	// FailedScale is the unit of TargetLoad.Failed: quarters of a request.
+	// FailedScale is the unit of Load.Failed: quarters of a request.
 	FailedScale = 4
+	// maxLoads is how many loads a beacon lists, so that two lists fit into a
+	// datagram.
+	maxLoads = 70
 )
 
-// TargetLoad is what hosts have in progress at a target.
-type TargetLoad struct {
-	Cookie cactuspin.Cookie
+// Subject names what a load is about: a service's targets in a zone by a hash, or
+// a target by its cookie. Busy and Flows are told of the former, Failed of the
+// latter, so that it does no harm if two have the same subject.
+type Subject uint32
+
+// Load is what hosts have in progress and what failed.
+type Load struct {
+	Subject Subject
 	// Busy is the mean of the requests in progress, in units of 1/BusyScale.
 	Busy uint16
 	// Flows is the number of open flows.
@@ -36,8 +46,20 @@
 	Failed uint8
 }
 
-// Loads are the loads of targets. On the wire they are nine bytes each.
-type Loads []TargetLoad
+// Loads are loads of many subjects. On the wire they are nine bytes each.
+type Loads []Load
+
+// Largest returns the loads that a beacon has room for: failures come first,
+// then what is busiest.
+func (l Loads) Largest() Loads {
+	if len(l) <= maxLoads {
+		return l
+	}
+	sorted := slices.SortedStableFunc(slices.Values(l), func(a, b Load) int {
+		return cmp.Or(cmp.Compare(b.Failed, a.Failed), cmp.Compare(b.Busy, a.Busy))
+	})
+	return sorted[:maxLoads]
+}
 
 const loadLength = 9
 
@@ -45,7 +67,7 @@
 func (l Loads) MarshalBinary() ([]byte, error) {
 	b := make([]byte, 0, loadLength*len(l))
 	for _, x := range l {
-		b = binary.BigEndian.AppendUint32(b, uint32(x.Cookie))
+		b = binary.BigEndian.AppendUint32(b, uint32(x.Subject))
 		b = binary.BigEndian.AppendUint16(b, x.Busy)
 		b = binary.BigEndian.AppendUint16(b, x.Flows)
 		b = append(b, x.Failed)
@@ -60,11 +82,11 @@
 	}
 	*l = make(Loads, 0, len(b)/loadLength)
 	for ; len(b) > 0; b = b[loadLength:] {
-		*l = append(*l, TargetLoad{
-			Cookie: cactuspin.Cookie(binary.BigEndian.Uint32(b)),
-			Busy:   binary.BigEndian.Uint16(b[4:]),
-			Flows:  binary.BigEndian.Uint16(b[6:]),
-			Failed: b[8],
+		*l = append(*l, Load{
+			Subject: Subject(binary.BigEndian.Uint32(b)),
+			Busy:    binary.BigEndian.Uint16(b[4:]),
+			Flows:   binary.BigEndian.Uint16(b[6:]),
+			Failed:  b[8],
 		})
 	}
 	return nil
--- a/internal/knowledge/planner/loads.go
+++ b/internal/knowledge/planner/loads.go
@@ -37,27 +37,27 @@
 	return sum.list(), total, others
 }
 
-// sums adds up loads by target.
-type sums map[cactuspin.Cookie]encoder.TargetLoad
+// sums adds up loads by subject.
+type sums map[encoder.Subject]encoder.Load
 
 func (s sums) add(loads encoder.Loads) {
 	for _, l := range loads {
-		x := s[l.Cookie]
-		x.Cookie = l.Cookie
-		x.Busy += l.Busy
-		x.Flows += l.Flows
+		x := s[l.Subject]
+		x.Subject = l.Subject
+		x.Busy = uint16(min(math.MaxUint16, int(x.Busy)+int(l.Busy)))
+		x.Flows = uint16(min(math.MaxUint16, int(x.Flows)+int(l.Flows)))
 		x.Failed = uint8(min(math.MaxUint8, int(x.Failed)+int(l.Failed)))
-		s[l.Cookie] = x
+		s[l.Subject] = x
 	}
 }
 
-// list returns the sums in the order of their cookies.
+// list returns the sums in the order of their subjects.
 func (s sums) list() encoder.Loads {
 	l := make(encoder.Loads, 0, len(s))
 	for _, x := range s {
 		l = append(l, x)
 	}
-	sort.Slice(l, func(i, j int) bool { return l[i].Cookie < l[j].Cookie })
+	sort.Slice(l, func(i, j int) bool { return l[i].Subject < l[j].Subject })
 	return l
 }
 
@@ -67,7 +67,7 @@
 	mine.add(own)
 	rest := make(encoder.Loads, 0, len(total))
 	for _, x := range total {
-		m := mine[x.Cookie]
+		m := mine[x.Subject]
 		x.Busy -= min(x.Busy, m.Busy)
 		x.Flows -= min(x.Flows, m.Flows)
 		x.Failed -= min(x.Failed, m.Failed)
--- a/internal/steering/steerer/failure.go
+++ b/internal/steering/steerer/failure.go
@@ -111,11 +111,11 @@
 // compareFailures sets the load that failures add to the targets of the service,
 // others being what other hosts have seen. It returns the targets that began or
 // ceased to count as failing.
-func (v *service) compareFailures(others map[cactuspin.Cookie]encoder.TargetLoad) (changed []*target) {
+func (v *service) compareFailures(others map[encoder.Subject]encoder.Load) (changed []*target) {
 	var all []float64
 	for _, z := range v.zones {
 		for _, t := range z.targets {
-			t.pooled = t.failed + float64(others[t.cookie].Failed)/encoder.FailedScale
+			t.pooled = t.failed + float64(others[encoder.Subject(t.cookie)].Failed)/encoder.FailedScale
 			all = append(all, t.pooled)
 		}
 	}
--- a/internal/steering/steerer/health.go
+++ b/internal/steering/steerer/health.go
@@ -153,7 +153,7 @@
 	}
 	if !answered {
 		// A cut-off zone shows first at one of its targets.
-		for _, x := range t.service.zone(t.registered.Zone).targets {
+		for _, x := range t.zone.targets {
 			x.health.doubt(now, began)
 			s.active.add(x)
 		}
--- a/internal/steering/steerer/loads.go
+++ b/internal/steering/steerer/loads.go
@@ -1,26 +1,56 @@
 package steerer
 
 import (
+	"hash/fnv"
 	"math"
 
 	"github.com/cactuspin/cactuspin"
 	"github.com/cactuspin/cactuspin/internal/knowledge/encoder"
 )
 
-// Loads returns what this host has in progress at each target that has any.
+// subjectOf names a service's targets in a zone, the same at every host.
+func subjectOf(service cactuspin.ServiceName, zone cactuspin.ZoneID) encoder.Subject {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(service))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(zone))
+	return encoder.Subject(h.Sum32())
+}
+
+// Loads returns what this host has in progress at each service's targets in a
+// zone, and the targets that failed requests. It does not grow with the targets.
 func (s *Steerer) Loads() (loads encoder.Loads) {
+	var failures encoder.Loads
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	type sum struct {
+		busy  float64
+		flows int32
+	}
+	sums := map[*zone]*sum{}
 	for _, t := range s.active.list() {
-		flows, busy := t.flows.Load(), t.meanBusy
-		if t.goneAt == 0 && (flows > 0 || busy > 0 || t.failed > 0) {
-			loads = append(loads, encoder.TargetLoad{
-				Cookie: t.cookie, Flows: uint16(max(0, flows)), Busy: uint16(busy * encoder.BusyScale),
-				Failed: uint8(min(math.MaxUint8, t.failed*encoder.FailedScale)),
+		if t.goneAt != 0 {
+			continue
+		}
+		x := sums[t.zone]
+		if x == nil {
+			x = &sum{}
+			sums[t.zone] = x
+		}
+		x.busy += t.meanBusy
+		x.flows += max(0, t.flows.Load())
+		if failed := uint8(min(math.MaxUint8, t.failed*encoder.FailedScale)); failed > 0 {
+			failures = append(failures, encoder.Load{Subject: encoder.Subject(t.cookie), Failed: failed})
+		}
+	}
+	for z, x := range sums {
+		if x.busy > 0 || x.flows > 0 {
+			loads = append(loads, encoder.Load{
+				Subject: z.subject, Busy: uint16(min(math.MaxUint16, x.busy*encoder.BusyScale)), Flows: uint16(min(math.MaxUint16, x.flows)),
 			})
 		}
 	}
-	return loads
+	return append(loads, failures...)
 }
 
 // Failing is a target that began or ceased to fail much more than others.
@@ -31,18 +61,18 @@
 	Failing  bool
 }
 
-// ShareLoads takes what other hosts have in progress at the targets, and what
-// failed there. It returns the targets that began or ceased to count as failing.
+// ShareLoads takes what other hosts have in progress and what failed. It returns
+// the targets that began or ceased to count as failing.
 func (s *Steerer) ShareLoads(others encoder.Loads) (changed []Failing) {
-	byCookie := make(map[cactuspin.Cookie]encoder.TargetLoad, len(others))
+	bySubject := make(map[encoder.Subject]encoder.Load, len(others))
 	for _, l := range others {
-		byCookie[l.Cookie] = l
+		bySubject[l.Subject] = l
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for v := range s.active.services() {
-		v.measure(byCookie)
-		for _, t := range v.compareFailures(byCookie) {
+		v.measure(bySubject)
+		for _, t := range v.compareFailures(bySubject) {
 			changed = append(changed, Failing{Target: t.registered.ID, Failures: t.pooled, Failing: t.failing()})
 		}
 	}
--- a/internal/steering/steerer/service.go
+++ b/internal/steering/steerer/service.go
@@ -35,6 +35,7 @@
 // zone is the targets of a service in one zone.
 type zone struct {
 	name    cactuspin.ZoneID
+	subject encoder.Subject
 	targets []*target
 	// use is the share of the slots in use, as all hosts see it.
 	use float64
@@ -45,7 +46,7 @@
 	if i < len(v.zones) && v.zones[i].name == name {
 		return v.zones[i]
 	}
-	z := &zone{name: name}
+	z := &zone{name: name, subject: subjectOf(v.name, name)}
 	v.zones = append(v.zones, nil)
 	copy(v.zones[i+1:], v.zones[i:])
 	v.zones[i] = z
@@ -157,14 +158,14 @@
 }
 
 // measure takes the loads of other hosts into the use of the zones.
-func (v *service) measure(others map[cactuspin.Cookie]encoder.TargetLoad) {
+func (v *service) measure(others map[encoder.Subject]encoder.Load) {
 	for _, z := range v.zones {
-		busy, slots := 0.0, 0
+		busy, slots := float64(others[z.subject].Busy)/encoder.BusyScale, 0
 		for _, t := range z.targets {
 			if t.registered.State != cactuspin.TargetReady {
 				continue
 			}
-			busy += t.meanBusy + float64(others[t.cookie].Busy)/encoder.BusyScale
+			busy += t.meanBusy
 			slots += t.registered.Slots
 		}
 		z.use = busy / max(1, float64(slots))
--- a/internal/steering/steerer/steerer.go
+++ b/internal/steering/steerer/steerer.go
@@ -141,8 +141,7 @@
 		old.remove()
 	}
 	v.byCookie[t.cookie] = t
-	z := v.zone(r.Zone)
-	z.targets = append(z.targets, t)
+	t.zone.targets = append(t.zone.targets, t)
 	s.targets[r.ID] = t
 }
 
--- a/internal/steering/steerer/target.go
+++ b/internal/steering/steerer/target.go
@@ -21,6 +21,7 @@
 	registered cactuspin.RegisteredTarget
 	cookie     cactuspin.Cookie
 	service    *service
+	zone       *zone
 	// warmUntil is when the target has warmed up.
 	warmUntil cactuspin.Time
 	// goneAt is when the target counts as gone, or 0.
@@ -40,7 +41,7 @@
 }
 
 func newTarget(now cactuspin.Time, r *cactuspin.RegisteredTarget, v *service) *target {
-	t := &target{service: v, cookie: cookieOf(r.ID)}
+	t := &target{service: v, zone: v.zone(r.Zone), cookie: cookieOf(r.ID)}
 	t.update(now, r)
 	return t
 }
@@ -78,7 +79,7 @@
 	if t.service.byCookie[t.cookie] == t {
 		delete(t.service.byCookie, t.cookie)
 	}
-	z := t.service.zone(t.registered.Zone)
+	z := t.zone
 	if i := slices.Index(z.targets, t); i >= 0 {
 		z.targets = slices.Delete(z.targets, i, i+1)
 	}
