Send no new flows to a target whose address another has

Ruled out: packets that ran at the wrong service (targets check the number before each packet); a lost change (all hosts had it within 40 ms). Change: of targets at one address only the one that started last gets new flows. Open flows stay with the old one until its registration ends, since a wrong entry must not break them. Also: a target that moves to another service or zone under its id was kept for ever; it is let go of like any gone one. Test: TestATargetWhoseAddressAnotherHasGetsNoNewFlows, failed before. The half second before the new registration stays open: a probe cannot tell who answers.

--- a/internal/steering/steerer/steerer.go
+++ b/internal/steering/steerer/steerer.go
@@ -41,6 +41,7 @@
 	mu       sync.RWMutex
 	services map[cactuspin.ServiceName]*service
 	targets  map[cactuspin.TargetID]*target
+	book     addressBook
 	gone     []*target
 	active   activeSet
 	flows    flowTable
@@ -74,6 +75,7 @@
 		c:        c,
 		services: map[cactuspin.ServiceName]*service{},
 		targets:  map[cactuspin.TargetID]*target{},
+		book:     addressBook{},
 	}
 	s.flows.init(c.MaxFlows, c.Seed)
 	s.Reconfigure(c.StaleAfter)
@@ -125,11 +127,16 @@
 func (s *Steerer) setTarget(now cactuspin.Time, r *cactuspin.RegisteredTarget) {
 	t := s.targets[r.ID]
 	if t != nil && t.registered.Service == r.Service && t.registered.Zone == r.Zone {
+		if a := t.registered.Address; a != r.Address {
+			s.book.strike(t, a)
+			defer s.book.enter(t)
+		}
 		t.update(now, r)
 		return
 	}
 	if t != nil {
 		t.end(now, 0)
+		s.gone = append(s.gone, t)
 	}
 	v := s.services[r.Service]
 	if v == nil {
@@ -142,6 +149,7 @@
 	}
 	v.byCookie[t.cookie] = t
 	t.zone.targets = append(t.zone.targets, t)
+	s.book.enter(t)
 	s.targets[r.ID] = t
 }
 
@@ -162,6 +170,7 @@
 	for len(s.gone) > 0 && now.Sub(s.gone[0].goneAt) > goneMemory {
 		t := s.gone[0]
 		s.gone = s.gone[1:]
+		s.book.strike(t, t.registered.Address)
 		t.remove()
 	}
 	return lost
--- a/internal/steering/steerer/steerer_test.go
+++ b/internal/steering/steerer/steerer_test.go
@@ -349,3 +349,34 @@
 	}
 	g.Expect(total).To(Equal(s.Flows()))
 }
+
+func TestATargetWhoseAddressAnotherHasGetsNoNewFlows(t *testing.T) {
+	g := NewWithT(t)
+	s := newSteerer(1, "a")
+	old, cookie := cactuspin.TargetID("desk-1"), cactuspin.Cookie(0)
+	for port := 0; cookie == 0; port++ {
+		if v := s.Steer(now, syn(port, feeds, 0)); v.Target == old {
+			cookie = v.Cookie
+		}
+	}
+	next := registered(9, "shelf", "a")
+	next.Address, next.Started = registered(1, "desk", "a").Address, 5
+	s.Apply(now, &keeper.Change{Targets: []cactuspin.RegisteredTarget{next}})
+	for port := range 20 {
+		g.Expect(s.Steer(now, syn(100+port, feeds, 0)).Target).NotTo(Equal(old))
+	}
+	g.Expect(s.Steer(now, data(300, feeds, cookie, 0)).Target).To(Equal(old), "open flows stay until it is surely gone")
+	s.Apply(now, &keeper.Change{Gone: []keeper.Gone{{GoneTarget: cactuspin.GoneTarget{ID: next.ID, Revision: 60}}}})
+	taken := map[cactuspin.TargetID]int{}
+	for port := range 20 {
+		taken[s.Steer(now, syn(200+port, feeds, 0)).Target]++
+	}
+	g.Expect(taken).To(HaveKey(old), "the other registration ended")
+	for range 200 {
+		s.Tick(now.Add(2 * time.Minute))
+	}
+	moved := registered(1, "desk", "a")
+	moved.Address, moved.Revision = netip.MustParseAddrPort("10.9.9.9:80"), 70
+	s.Apply(now, &keeper.Change{Targets: []cactuspin.RegisteredTarget{moved}})
+	g.Expect(s.Steer(now, data(300, feeds, cookie, 0)).Address).To(Equal(moved.Address))
+}
--- a/internal/steering/steerer/target.go
+++ b/internal/steering/steerer/target.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,8 @@
 	cookie     cactuspin.Cookie
 	service    *service
 	zone       *zone
+	// sharers are the targets at the same address, this one among them.
+	sharers *sharers
 	// warmUntil is when the target has warmed up.
 	warmUntil cactuspin.Time
 	// goneAt is when the target counts as gone, or 0.
@@ -71,7 +74,44 @@
 
 // usable tells whether new flows may go to the target.
 func (t *target) usable(now cactuspin.Time) bool {
-	return t.registered.State == cactuspin.TargetReady && !t.ended(now)
+	return t.registered.State == cactuspin.TargetReady && !t.ended(now) && !t.replaced()
+}
+
+// replaced tells whether a later target is registered at the same address: this
+// one ended without a word, and its registration has not lapsed yet. A probe
+// cannot tell, since the address answers.
+func (t *target) replaced() bool {
+	return slices.ContainsFunc(t.sharers.targets, func(x *target) bool { return x.goneAt == 0 && x.startedAfter(t) })
+}
+
+func (t *target) startedAfter(x *target) bool {
+	a, b := &t.registered, &x.registered
+	return a.Started > b.Started || (a.Started == b.Started && a.Revision > b.Revision && t != x)
+}
+
+// sharers are the targets that are registered at one address, mostly one.
+type sharers struct{ targets []*target }
+
+// addressBook finds the targets by their addresses.
+type addressBook map[netip.AddrPort]*sharers
+
+// enter puts a target under its address.
+func (b addressBook) enter(t *target) {
+	a := t.registered.Address
+	if b[a] == nil {
+		b[a] = &sharers{}
+	}
+	t.sharers = b[a]
+	t.sharers.targets = append(t.sharers.targets, t)
+}
+
+// strike takes a target out that was entered under an address.
+func (b addressBook) strike(t *target, a netip.AddrPort) {
+	s := b[a]
+	s.targets = slices.DeleteFunc(s.targets, func(x *target) bool { return x == t })
+	if len(s.targets) == 0 {
+		delete(b, a)
+	}
 }
 
 // remove takes the target out of its service.
