Write whole log lines, as many as a pipe takes at once

Change: the writer hands over whole lines, at most 4,096 bytes at a time. Test: TestWholeLinesAreWrittenAtOnce, failed before.

--- a/internal/entry/writer/writer.go
+++ b/internal/entry/writer/writer.go
@@ -3,6 +3,8 @@
 package writer
 
 import (
+	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -16,6 +18,9 @@
 	maxQueued = 1 << 20
 	// flushInterval is how long a line may wait; lines of that time take one write.
 	flushInterval = 100 * time.Millisecond
+	// atomicWrite is how many bytes a pipe takes without those of another process
+	// between them (PIPE_BUF).
+	atomicWrite = 4096
 )
 
 // Writer queues lines. It is safe for concurrent use.
@@ -84,12 +89,28 @@
 	if dropped > 0 {
 		batch = fmt.Appendf(batch, "level=WARN msg=\"log: lines dropped\" lines=%d\n", dropped)
 	}
-	var err error
-	if len(batch) > 0 {
-		_, err = w.out.Write(batch)
-	}
+	err := w.write(batch)
 	w.mu.Lock()
 	w.spare = batch[:0]
 	w.mu.Unlock()
 	return err
 }
+
+// write writes lines, as many whole ones at a time as a pipe takes at once.
+func (w *Writer) write(lines []byte) error {
+	for len(lines) > 0 {
+		n := len(lines)
+		if n > atomicWrite {
+			n = 1 + bytes.LastIndexByte(lines[:atomicWrite], '\n')
+		}
+		if n == 0 {
+			// The first line is longer than that.
+			n = cmp.Or(1+bytes.IndexByte(lines, '\n'), len(lines))
+		}
+		if _, err := w.out.Write(lines[:n]); err != nil {
+			return err
+		}
+		lines = lines[n:]
+	}
+	return nil
+}
--- a/internal/entry/writer/writer_test.go
+++ b/internal/entry/writer/writer_test.go
@@ -32,3 +32,30 @@
 	g.Expect(<-w.Done()).NotTo(HaveOccurred())
 	g.Expect(out.String()).To(HaveSuffix("later\n"), "what is queued at the end is written")
 }
+
+// writes records each write.
+type writes []string
+
+func (w *writes) Write(b []byte) (int, error) {
+	*w = append(*w, string(b))
+	return len(b), nil
+}
+
+func TestWholeLinesAreWrittenAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	var out writes
+	w := writer.New(&out)
+	long := strings.Repeat("y", 9000) + "\n"
+	text := strings.Repeat("a line of a log\n", 1000) + long + "the end\n"
+	_, err := w.Write([]byte(text))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(w.Flush()).To(Succeed())
+	g.Expect(strings.Join(out, "")).To(Equal(text))
+	for _, b := range out {
+		g.Expect(b).To(HaveSuffix("\n"))
+		g.Expect(len(b) <= 4096 || b == long).To(BeTrue())
+	}
+	_, err = w.Write([]byte(strings.Repeat("z", 5000)))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(w.Flush()).To(Succeed(), "without an end of the line")
+}
