--- a/internal/steering/steerer/failure_test.go
+++ b/internal/steering/steerer/failure_test.go
@@ -130,3 +130,22 @@
 	s.ShareLoads(encoder.Loads{{Subject: encoder.Subject(v.Cookie), Failed: 10 * encoder.FailedScale}})
 	g.Expect(s.Steer(now, syn(2, feeds, 0)).Target).NotTo(Equal(v.Target))
 }
+
+func TestAZoneInWhichEverythingFailsKeepsItsFlows(t *testing.T) {
+	g := NewWithT(t)
+	s := newSteerer(1, "a", "b")
+	s.Apply(now, &keeper.Change{Targets: []cactuspin.RegisteredTarget{registered(5, "desk", "a"), registered(6, "desk", "b")}})
+	cookies := map[cactuspin.Cookie]bool{}
+	for port := range 60 {
+		cookies[s.Steer(now, syn(port, feeds, 0)).Cookie] = true
+	}
+	g.Expect(cookies).To(HaveLen(3))
+	var flood encoder.Loads
+	for c := range cookies {
+		flood = append(flood, encoder.Load{Subject: encoder.Subject(c), Failed: 10 * encoder.FailedScale})
+	}
+	g.Expect(s.ShareLoads(flood)).To(BeEmpty())
+	for port := range 60 {
+		g.Expect(cookies).To(HaveKey(s.Steer(now, syn(100+port, feeds, 0)).Cookie))
+	}
+}
