Read the change once more: one branch a case, hosts learned once

Cause: read as a newcomer, storeAnswered set the age in two branches of a switch, and the hosts of a page were learned with the page and again with the whole. Change: an if in place of the switch; pages keep no hosts. Behaviour is the same.

--- a/internal/entry/engine/reading.go
+++ b/internal/entry/engine/reading.go
@@ -19,7 +19,6 @@
 func (w *wholeRead) add(now cactuspin.Time, u *cactuspin.Update) *cactuspin.Update {
 	w.update.Targets = append(w.update.Targets, u.Targets...)
 	w.update.Gone = append(w.update.Gone, u.Gone...)
-	w.update.Hosts = append(w.update.Hosts, u.Hosts...)
 	if u.Routing != nil {
 		w.update.Routing = u.Routing
 	}
--- a/internal/entry/engine/store.go
+++ b/internal/entry/engine/store.go
@@ -83,16 +83,15 @@
 		settled = 0
 	}
 	e.store.failed, e.store.pause = false, firstRetry
-	switch {
-	case c.All:
+	if c.All {
 		if u = e.readPage(now, c, u); u == nil {
 			return
 		}
-	case u.Revision > u.After:
-		u.Age = sinceAsked(now, c, u)
-		e.store.nextAt = now.Add(batchTime)
-	default:
+	} else {
 		u.Age = sinceAsked(now, c, u)
+		if u.Revision > u.After {
+			e.store.nextAt = now.Add(batchTime)
+		}
 	}
 	u.Settled = settled
 	e.take(now, u, "store", out)
