Name the tick, the unknown age and the tuning once

Cause: read once more, three things stood twice: the time between ticks in the steerer and the engine (the half-life of failures is worked out from it), the age of knowledge that a host does not have in keeper and planner, and the engine's tuning made from settings at the start and at a reload. Change: steerer.TickInterval, keeper.UnknownAge and tuningOf serve both sides. Values and behaviour stay as they are.

--- a/internal/app/entry/host.go
+++ b/internal/app/entry/host.go
@@ -76,7 +76,7 @@
 	self := cactuspin.EntryHost{Address: s.IP, Zone: s.Zone}
 	h.engine = engine.New(engine.Config{
 		Self: self, MaxFlows: maxFlows,
-		Tuning:      engine.Tuning{Seeds: s.Seeds, Bound: min(s.ApplyWithin, s.DrainWithin)},
+		Tuning:      tuningOf(s),
 		Incarnation: cactuspin.Incarnation(binary.BigEndian.Uint64(seed[8:])), Seed: binary.BigEndian.Uint64(seed[:]),
 	})
 	h.learner = learner.New(learner.Config{
--- a/internal/app/entry/reload.go
+++ b/internal/app/entry/reload.go
@@ -22,6 +22,11 @@
 	applied, ignored []string
 }
 
+// tuningOf returns the settings that can change while the engine runs.
+func tuningOf(s *platform.Settings) engine.Tuning {
+	return engine.Tuning{Seeds: s.Seeds, Bound: min(s.ApplyWithin, s.DrainWithin)}
+}
+
 func compare(old, next *platform.Settings) (c settingsChange) {
 	note := func(names *[]string, name string, same bool) {
 		if !same {
@@ -88,8 +93,6 @@
 	if next.Store != old.Store {
 		h.learner.Use(platform.NewStore(next.Store, h.common.Logger), platform.NewStore(next.Store, h.common.Logger))
 	}
-	h.handle(func(_ cactuspin.Time, _ *engine.Actions) {
-		h.engine.Reconfigure(engine.Tuning{Seeds: next.Seeds, Bound: min(next.ApplyWithin, next.DrainWithin)})
-	})
+	h.handle(func(_ cactuspin.Time, _ *engine.Actions) { h.engine.Reconfigure(tuningOf(&next)) })
 	h.common.Logger.Info("host: settings reloaded", slog.Bool("signal", signal), slog.Any("applied", c.applied), slog.Any("ignored", c.ignored))
 }
--- a/internal/entry/engine/engine.go
+++ b/internal/entry/engine/engine.go
@@ -27,7 +27,7 @@
 	waitShare = 22
 	// TickInterval is how often Tick is to be called: often enough that a change
 	// of readers takes little of the bounds on knowledge.
-	TickInterval = 50 * time.Millisecond
+	TickInterval = steerer.TickInterval
 	// longPause is a pause after which waiting datagrams are too old to tell how
 	// fresh they are.
 	longPause = 500 * time.Millisecond
--- a/internal/knowledge/keeper/keeper.go
+++ b/internal/knowledge/keeper/keeper.go
@@ -20,8 +20,8 @@
 	// maxGone bounds the ended registrations that are remembered for hosts that
 	// are behind; a host further behind gets a full update.
 	maxGone = 4096
-	// unknownAge is the age of knowledge that a host does not have.
-	unknownAge = time.Hour
+	// UnknownAge is the age of knowledge that a host does not have.
+	UnknownAge = time.Hour
 )
 
 // Change is what an update changed.
@@ -98,7 +98,7 @@
 
 func (k *Keeper) age(now cactuspin.Time) time.Duration {
 	if !k.complete {
-		return unknownAge
+		return UnknownAge
 	}
 	return max(0, now.Sub(k.confirmed))
 }
--- a/internal/knowledge/planner/planner.go
+++ b/internal/knowledge/planner/planner.go
@@ -35,8 +35,6 @@
 	keepReading = 3 * time.Second
 	// fetchInterval is the least time between two fetches from the same peer.
 	fetchInterval = 100 * time.Millisecond
-	// unknownAge is the age of the knowledge of a host that was not heard yet.
-	unknownAge = time.Hour
 )
 
 // Config configures a planner.
@@ -111,7 +109,7 @@
 		if h.Address == p.c.Self.Address || p.peers[h.Address] != nil {
 			continue
 		}
-		x := &peer{EntryHost: h, heard: now, age: unknownAge}
+		x := &peer{EntryHost: h, heard: now, age: keeper.UnknownAge}
 		if complete {
 			x.heard = now.Add(-aliveFor)
 		}
--- a/internal/steering/steerer/failure.go
+++ b/internal/steering/steerer/failure.go
@@ -32,8 +32,6 @@
 	// goes on failing is tried again by all hosts after some of these times, so that
 	// a short one costs requests; a long one leaves a recovered target idle.
 	failureHalfLife = 8 * time.Second
-	// tickTime is the time between ticks.
-	tickTime = 50 * time.Millisecond
 	// commonFailures is how many times the failures of the middle target of a zone
 	// another one must have, beside fewFailures: what fails everywhere, as in a
 	// flood, is no fault of a target.
@@ -52,7 +50,7 @@
 )
 
 // failureDecay is the share of a target's failures that a tick leaves.
-var failureDecay = math.Exp2(-tickTime.Seconds() / failureHalfLife.Seconds())
+var failureDecay = math.Exp2(-TickInterval.Seconds() / failureHalfLife.Seconds())
 
 // answerSizes is what a route's answers usually take. It is safe for concurrent
 // use.
--- a/internal/steering/steerer/steerer.go
+++ b/internal/steering/steerer/steerer.go
@@ -21,6 +21,8 @@
 	// settleTime is how long after a fault of the store an unknown cookie may
 	// belong to a target that is about to register again.
 	settleTime = 3 * time.Second
+	// TickInterval is how often Tick is to be called. What fades does so by ticks.
+	TickInterval = 50 * time.Millisecond
 )
 
 // Config configures a steerer.
