Judge probes by what the kernel knows, not by when this host looked

Cause: a probe was two dials with a deadline of 250 ms, 'failed' if it ended within 100 ms after that.

Change: the pure package examiner decides. The driver opens sockets and reads their state from the kernel 40 times a second; silence is counted by looks that found a connection unanswered, at most 50 ms of it a look, so that time in which the host did not run says little and a pause nothing. One silent probe makes a target down: new flows avoid it, open flows are reset only if they themselves repeat data without an answer; two silent probes or a refused connection make it dead. Silence counts only if some other target answered this host meanwhile. A target that goes down lets three others of its zone be probed instead of all.

Ruled out: a longer deadline (later for all, and a slower host still fails), a bound on the process's own lateness by the end of the dial alone (it was there: 100 ms).

--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -121,6 +121,8 @@
 			return err
 		case err := <-h.server.Done():
 			return err
+		case err := <-h.prober.Done():
+			return err
 		}
 	}
 }
--- a/internal/app/entry/host.go
+++ b/internal/app/entry/host.go
@@ -24,6 +24,7 @@
 	"github.com/cactuspin/cactuspin/internal/entry/storeclient"
 	"github.com/cactuspin/cactuspin/internal/entry/writer"
 	"github.com/cactuspin/cactuspin/internal/server/driver"
+	"github.com/cactuspin/cactuspin/internal/steering/examiner"
 	"github.com/cactuspin/cactuspin/platform"
 )
 
@@ -84,7 +85,7 @@
 		Logger: logger, Self: self, Engine: h.engine, Handle: h.handle,
 		Store: platform.NewStore(s.StoreAddress, logger), AnnouncementStore: platform.NewStore(s.StoreAddress, logger),
 	})
-	h.prober = prober.New(prober.Config{Common: h.common, Engine: h.engine, Handle: h.handle})
+	h.prober = prober.New(prober.Config{Common: h.common, Report: h.probed})
 	h.meter = meter.New(meter.Config{Status: h.status, Counters: h.counters})
 	h.reporter = reporter.New(reporter.Config{Logger: logger, Format: platform.PacketFormat{}, RecordResponseTime: h.meter.RecordResponseTime})
 	return h, h.open(o)
@@ -144,7 +145,7 @@
 		h.gossiper.Fetch(h.ctx, out.Fetch)
 	}
 	for _, p := range out.Probes {
-		h.prober.Probe(h.ctx, p)
+		h.prober.Probe(p)
 	}
 	if h.engine.Loaded(h.common.Clock()) {
 		h.loadedOnce.Do(func() { close(h.loaded) })
@@ -156,6 +157,7 @@
 	h.gossiper.Start(ctx)
 	h.forwarder.Start(ctx)
 	h.server.Start(ctx)
+	h.prober.Start(ctx)
 	go h.tick(ctx)
 	h.storeClient.Start(ctx)
 	go h.openMeter(ctx)
@@ -188,6 +190,11 @@
 	}
 }
 
+// probed passes the result of a probe to the engine.
+func (h *host) probed(r examiner.Result) {
+	h.handle(func(now cactuspin.Time, out *engine.Actions) { h.engine.Probed(now, r.Began, r.Probe, r.Finding, out) })
+}
+
 func (h *host) status() engine.Status { return h.engine.Status(h.common.Clock()) }
 
 func (h *host) counters() meter.Counters {
--- a/internal/entry/engine/engine.go
+++ b/internal/entry/engine/engine.go
@@ -157,11 +157,12 @@
 	out.note(slog.LevelInfo, "host: stopping")
 }
 
-// Probed handles the result of a probe that started at began.
-func (e *Engine) Probed(now, began cactuspin.Time, p balancer.Probe, answered bool, out *Actions) {
-	if e.balancer.RecordProbe(now, began, p.Target, answered) {
+// Probed handles the finding of a probe that began at began.
+func (e *Engine) Probed(now, began cactuspin.Time, p balancer.Probe, f balancer.Finding, out *Actions) {
+	if e.balancer.RecordProbe(now, began, p.Target, f) {
 		out.note(slog.LevelInfo, "target: condition changed", slog.String("target", string(p.Target)),
-			slog.String("address", p.Address.String()), slog.Bool("down", !answered), slog.Duration("took", now.Sub(began)))
+			slog.String("address", p.Address.String()), slog.Bool("down", f != balancer.FindingAlive),
+			slog.String("probe", f.String()), slog.Duration("took", now.Sub(began)))
 	}
 }
 
--- a/internal/standin/simulator/host.go
+++ b/internal/standin/simulator/host.go
@@ -146,10 +146,10 @@
 	}
 	for _, p := range out.Probes {
 		startedAt, generation, p := h.sim.now, h.generation, p
-		answered, duration := h.sim.probe(h, p.Address)
+		finding, duration := h.sim.probe(h, p.Address)
 		h.sim.after(duration, func() {
 			if h.generation == generation {
-				h.execute(func(out *engine.Actions) { h.engine.Probed(h.sim.now, startedAt, p, answered, out) })
+				h.execute(func(out *engine.Actions) { h.engine.Probed(h.sim.now, startedAt, p, finding, out) })
 			}
 		})
 	}
--- a/internal/standin/simulator/target.go
+++ b/internal/standin/simulator/target.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/steering/balancer"
 )
 
 const (
@@ -202,13 +203,13 @@
 	}
 }
 
-// probe reports whether a target at the address accepts a connection from the host, and
-// how long that takes.
-func (s *Simulation) probe(h *host, a netip.AddrPort) (answered bool, duration time.Duration) {
+// probe returns what a connection from the host to the address shows, and how long
+// that takes.
+func (s *Simulation) probe(h *host, a netip.AddrPort) (f balancer.Finding, duration time.Duration) {
 	for _, t := range s.targets {
 		if t.registration.Address == a && t.alive && !s.blocked(&h.location, &t.location) {
-			return true, 2 * s.delay(&h.location, &t.location)
+			return balancer.FindingAlive, 2 * s.delay(&h.location, &t.location)
 		}
 	}
-	return false, probeTimeout
+	return balancer.FindingSilent, probeTimeout
 }
--- a/internal/steering/balancer/balancer.go
+++ b/internal/steering/balancer/balancer.go
@@ -55,6 +55,8 @@
 	// healthySince the time of the store's last recovery from a failure.
 	confirmed    atomic.Int64
 	healthySince atomic.Int64
+	// lastAnswer is when a target last answered a caller or a probe of this host.
+	lastAnswer atomic.Int64
 	// staleAfter is Config.StaleAfter in nanoseconds.
 	staleAfter atomic.Int64
 	counters   [verdictReasons]atomic.Uint64
@@ -243,15 +245,17 @@
 	}
 	b.active.add(t)
 	f := h.recordPacket(now, p, t, route)
-	f.observe(now, p, &v)
+	if f.observe(now, p, &v) {
+		b.recordPath(now)
+	}
 	if t.ended(now) {
 		f.unassign()
 		return b.refuse(now, p, v, cactuspin.ReasonTargetGone)
 	}
-	// A flow whose requests may run again is reset at once if its target is down
+	// A flow whose requests may run again is reset at once if its target is dead
 	// and other targets have free slots. Flows of other requests stay open: the
 	// answer may still come directly from the target.
-	if p.Length > 0 && route.Kind != cactuspin.WorkNonIdempotent && t.health.isDown() && t.service.hasCapacity(now) {
+	if p.Length > 0 && route.Kind != cactuspin.WorkNonIdempotent && t.health.allowsReset(v.Retransmitted) && t.service.hasCapacity(now) {
 		f.unassign()
 		return b.refuse(now, p, v, cactuspin.ReasonTargetDown)
 	}
--- a/internal/steering/balancer/flow.go
+++ b/internal/steering/balancer/flow.go
@@ -186,13 +186,14 @@
 
 // observe updates the flow from a packet of the caller and records in the verdict
 // whether the packet begins a request, retransmits data or acknowledges an answer.
-func (f *flow) observe(now cactuspin.Time, p *cactuspin.Packet, v *cactuspin.Verdict) {
+// It reports whether the packet shows that the target has answered.
+func (f *flow) observe(now cactuspin.Time, p *cactuspin.Packet, v *cactuspin.Verdict) (answered bool) {
 	if !f.established {
-		f.established, f.acknowledged = true, p.Acknowledgement
+		f.established, f.acknowledged, answered = true, p.Acknowledgement, true
 		f.target.health.recordAlive(now)
 	}
 	if int32(p.Acknowledgement-f.acknowledged) > 0 {
-		f.acknowledged = p.Acknowledgement
+		f.acknowledged, answered = p.Acknowledgement, true
 		f.target.health.recordAlive(now)
 		if f.requestedAt != 0 {
 			v.ResponseTime = now.Sub(f.requestedAt)
@@ -204,6 +205,7 @@
 		f.recordAnswer(p.Acknowledgement)
 		f.unassign()
 	}
+	return answered
 }
 
 func (f *flow) observeData(now cactuspin.Time, p *cactuspin.Packet, v *cactuspin.Verdict) {
--- a/internal/steering/balancer/health.go
+++ b/internal/steering/balancer/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +19,12 @@
 	// probeTrustTime is how long unanswered packets are ignored after a target has
 	// answered a probe.
 	probeTrustTime = time.Second
+	// silentProbesUntilDead is the number of silent probes in a row after which a
+	// target counts as dead. After one, the path to it may have failed for a moment.
+	silentProbesUntilDead = 2
+	// spreadCount is the number of other targets of a zone that are probed when one
+	// of them goes down.
+	spreadCount = 3
 )
 
 // condition is the health of a target as seen by this host.
@@ -28,10 +35,29 @@
 	healthy condition = iota
 	// suspect targets left packets unanswered and are being probed.
 	suspect
-	// down targets also left probes unanswered.
+	// down targets also left a probe unanswered.
 	down
+	// dead targets refused a connection, or left several probes in a row unanswered.
+	dead
 )
 
+// Finding is what a probe shows about its target.
+type Finding uint8
+
+const (
+	// FindingNone shows nothing, for example because this host was too slow.
+	FindingNone Finding = iota
+	// FindingAlive means that the target accepted a connection.
+	FindingAlive
+	// FindingSilent means that the target left all connection attempts unanswered.
+	FindingSilent
+	// FindingRefused means that nothing listens at the target's address.
+	FindingRefused
+)
+
+// String returns the form used in logs.
+func (f Finding) String() string { return [...]string{"none", "alive", "silent", "refused"}[f] }
+
 // health tracks the condition of a target. It is safe for concurrent use.
 type health struct {
 	mu        sync.Mutex
@@ -41,6 +67,8 @@
 	lastAlive, lastMissed cactuspin.Time
 	trustedUntil          cactuspin.Time
 	nextProbe             cactuspin.Time
+	// silentProbes is the number of silent probes since the target last showed life.
+	silentProbes int
 }
 
 // recordMiss records that a packet sent at sent was not answered until now. It
@@ -60,13 +88,16 @@
 }
 
 // suspectUnlessAlive marks a healthy target as suspect if nothing has proved it
-// alive since a point in time, although none of its packets was unanswered.
-func (h *health) suspectUnlessAlive(now, since cactuspin.Time) {
+// alive since a point in time, although none of its packets was unanswered. It
+// reports whether it did.
+func (h *health) suspectUnlessAlive(now, since cactuspin.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.condition == healthy && h.lastAlive < since && now >= h.trustedUntil {
-		h.condition, h.lastMissed, h.nextProbe = suspect, now, now
+	if h.condition != healthy || h.lastAlive >= since || now < h.trustedUntil {
+		return false
 	}
+	h.condition, h.lastMissed, h.nextProbe = suspect, now, now
+	return true
 }
 
 // recordAlive records that the target has answered. It reports whether the target
@@ -74,8 +105,8 @@
 func (h *health) recordAlive(now cactuspin.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	wasDown := h.condition == down
-	h.lastAlive, h.condition = now, healthy
+	wasDown := h.condition >= down
+	h.lastAlive, h.condition, h.silentProbes = now, healthy, 0
 	return wasDown
 }
 
@@ -91,28 +122,35 @@
 	return true
 }
 
-// recordProbe records the result of a probe that began at began. It reports
-// whether the target went down or came back.
-func (h *health) recordProbe(now, began cactuspin.Time, answered bool) bool {
+// recordProbe records the finding of a probe that began at began. It reports
+// whether the condition changed.
+func (h *health) recordProbe(now, began cactuspin.Time, f Finding) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if answered {
-		wasDown := h.condition == down
-		h.condition, h.trustedUntil = healthy, now.Add(probeTrustTime)
-		return wasDown
-	}
-	if h.condition != suspect || h.lastAlive >= began {
+	before := h.condition
+	switch {
+	case f == FindingAlive:
+		h.condition, h.silentProbes, h.trustedUntil = healthy, 0, now.Add(probeTrustTime)
+		return before >= down
+	case f == FindingNone || before == healthy || h.lastAlive >= began:
 		return false
+	case f == FindingRefused:
+		h.condition = dead
+	default:
+		h.silentProbes++
+		h.condition = down
+		if h.silentProbes >= silentProbesUntilDead {
+			h.condition = dead
+		}
 	}
-	h.condition = down
-	return true
+	return h.condition != before
 }
 
 // avoided reports whether new flows should go to other targets.
 func (h *health) avoided(now cactuspin.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.condition == down || (h.condition == suspect && now.Sub(h.lastMissed) < suspectTimeout)
+	return h.condition >= down || (h.condition == suspect && now.Sub(h.lastMissed) < suspectTimeout)
 }
 
 // isHealthy reports whether the target is neither suspect nor down.
@@ -122,10 +160,20 @@
 	return h.condition == healthy
 }
 
+// isDown reports whether the target is down or dead.
 func (h *health) isDown() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.condition == down
+	return h.condition >= down
+}
+
+// allowsReset reports whether an open flow with new data may be reset. While the
+// target is only down, the flow itself must have got no answer, too: then a probe
+// that failed wrongly resets no flow that works.
+func (h *health) allowsReset(retransmitted bool) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.condition == dead || (h.condition == down && retransmitted)
 }
 
 // Probe is a request to probe a target by connecting to its address.
@@ -146,22 +194,50 @@
 	return due
 }
 
-// RecordProbe records the result of a probe. It reports whether the target went
-// down or came back.
-func (b *Balancer) RecordProbe(now, began cactuspin.Time, id cactuspin.TargetID, answered bool) (changed bool) {
+// RecordProbe records the finding of a probe that began at began. It reports
+// whether the condition of the target changed.
+func (b *Balancer) RecordProbe(now, began cactuspin.Time, id cactuspin.TargetID, f Finding) (changed bool) {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	t := b.targets[id]
-	if t == nil || !t.health.recordProbe(now, began, answered) {
+	if f == FindingAlive {
+		b.recordPath(now)
+	}
+	if t == nil {
 		return false
 	}
-	if !answered {
-		// If a whole zone fails, this shows first at one of its targets, so the
-		// others are probed too.
-		for _, x := range t.zone.targets {
-			x.health.suspectUnlessAlive(now, began)
-			b.active.add(x)
+	// If nothing answered this host meanwhile, its own links may be down. Probes of
+	// other targets show whether they are.
+	if f == FindingSilent && cactuspin.Time(b.lastAnswer.Load()) < began {
+		b.suspectOthers(now, began, t)
+		return false
+	}
+	changed = t.health.recordProbe(now, began, f)
+	if changed && f != FindingAlive {
+		b.suspectOthers(now, began, t)
+	}
+	return changed
+}
+
+// suspectOthers lets some other targets in the zone of t be probed: if a whole zone
+// fails, this shows first at one of its targets. Each of them that is down, too,
+// leads to more, so that a zone is covered in a few rounds and the failure of a
+// single target costs a few probes.
+func (b *Balancer) suspectOthers(now, began cactuspin.Time, t *target) {
+	count := 0
+	first := slices.Index(t.zone.targets, t)
+	for i := range t.zone.targets {
+		x := t.zone.targets[(first+1+i)%len(t.zone.targets)]
+		if x == t || !x.health.suspectUnlessAlive(now, began) {
+			continue
+		}
+		b.active.add(x)
+		if count++; count == spreadCount {
+			return
 		}
 	}
-	return true
 }
+
+// recordPath records that a target answered, which shows that this host's links
+// work.
+func (b *Balancer) recordPath(now cactuspin.Time) { b.lastAnswer.Store(int64(now)) }
