Tell other hosts which targets are down

Cause: in a zone of 39 hosts before 47 targets a host sends a target a request every few seconds, so after a mass loss each host has to lose a request of its own to each dead target before it avoids that (200 ms and a second first packet for a caller each time), and each probes it.

Change: beacons list the targets that a host found down by its own probes, six bytes each, 30 at most, the newest evidence first; hosts pass reports on with the age of the evidence, which only grows, so that a report ends 1.5 s after it. New flows avoid a reported target unless this host had an answer of it after the evidence. Nothing else follows from a report: open flows are reset on a host's own evidence only. Lists of loads are 60 long instead of 70, so that all fits into a frame.

Stories can now bound the share of requests answered in time (in_time).

--- a/internal/entry/engine/peers.go
+++ b/internal/entry/engine/peers.go
@@ -18,8 +18,10 @@
 		out.note(slog.LevelInfo, "target: failing changed", slog.String("target", string(x.Target)),
 			slog.Bool("failing", x.Failing), slog.Float64("failures", x.Failures))
 	}
+	down, reported := e.planner.AggregateDown(now, e.balancer.DownReports(now))
+	e.balancer.MergeDownReports(now, reported)
 	b := e.beacon(now)
-	b.ReplyRequested = !b.Complete
+	b.ReplyRequested, b.Down = !b.Complete, down.Freshest()
 	zoneBeacon, remoteBeacon := b, b
 	zoneBeacon.Loads, zoneBeacon.Total = own.Largest(), total.Largest()
 	remoteBeacon.Loads = zone.Largest()
--- a/internal/knowledge/encoder/encoder.go
+++ b/internal/knowledge/encoder/encoder.go
@@ -26,9 +26,9 @@
 	// FailedRequestsScale is the number of units of Load.FailedRequests per
 	// request.
 	FailedRequestsScale = 4
-	// maxLoads limits the loads in a list of a beacon so that two lists fit
-	// into a datagram.
-	maxLoads = 70
+	// maxLoads limits the loads in a list of a beacon so that two lists and the
+	// targets that are down fit into a datagram.
+	maxLoads = 60
 )
 
 // Subject identifies what a load describes: the targets of a service in a zone
@@ -116,6 +116,8 @@
 	Loads Loads `cbor:"10,keyasint,omitempty"`
 	// Total is the load of all hosts as the leader of the zone knows it.
 	Total Loads `cbor:"11,keyasint,omitempty"`
+	// Down lists targets that some host found down.
+	Down DownTargets `cbor:"12,keyasint,omitempty"`
 }
 
 // Datagram is a datagram between hosts; exactly one field is set.
--- a/internal/knowledge/encoder/encoder_test.go
+++ b/internal/knowledge/encoder/encoder_test.go
@@ -16,6 +16,7 @@
 		Host:     cactuspin.EntryHost{Address: netip.MustParseAddr("10.1.0.7"), Zone: "a"},
 		Revision: 7, LastChange: 5, Age: time.Second, Complete: true,
 		Loads: encoder.Loads{{Subject: 9, ActiveRequests: 3 * encoder.ActiveRequestsScale, Flows: 700}},
+		Down:  encoder.DownTargets{{Cookie: 77, Age: 300 * time.Millisecond}},
 	}}
 }
 
@@ -44,6 +45,13 @@
 	}
 	loads[5].FailedRequests = 1
 	d.Beacon.Loads, d.Beacon.Total = loads.Largest(), loads.Largest()
+	var down encoder.DownTargets
+	for i := range 500 {
+		down = append(down, encoder.DownTarget{Cookie: cactuspin.Cookie(1e9 + i), Age: time.Duration(i%50) * time.Second})
+	}
+	d.Beacon.Down = down.Freshest()
+	g.Expect(d.Beacon.Down).To(HaveLen(30))
+	g.Expect(d.Beacon.Down[0].Age).To(BeZero())
 	g.Expect(d.Beacon.Loads).To(ContainElements(loads[5], loads[21_999]))
 	g.Expect(loads[:30].Largest()).To(HaveLen(30))
 	b, err := encoder.Encode(&d)
--- a/internal/knowledge/planner/loads.go
+++ b/internal/knowledge/planner/loads.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"sort"
+	"time"
 
 	"github.com/cactuspin/cactuspin"
 	"github.com/cactuspin/cactuspin/internal/knowledge/encoder"
@@ -38,6 +39,38 @@
 	return sum.list(), total, others
 }
 
+// AggregateDown merges the targets that this host found down, own, with those that
+// its peers report. all is what this host passes on, others leaves out own.
+func (p *Planner) AggregateDown(now cactuspin.Time, own encoder.DownTargets) (all, others encoder.DownTargets) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	newest := map[cactuspin.Cookie]time.Duration{}
+	for _, x := range p.peers {
+		since := now.Sub(x.lastBeacon)
+		for _, r := range x.down {
+			age := r.Age + since
+			if known, ok := newest[r.Cookie]; age <= encoder.DownLifetime && (!ok || age < known) {
+				newest[r.Cookie] = age
+			}
+		}
+	}
+	others = listDown(newest)
+	for _, r := range own {
+		newest[r.Cookie] = r.Age
+	}
+	return listDown(newest), others
+}
+
+// listDown returns reports sorted by cookie.
+func listDown(ages map[cactuspin.Cookie]time.Duration) encoder.DownTargets {
+	l := make(encoder.DownTargets, 0, len(ages))
+	for c, age := range ages {
+		l = append(l, encoder.DownTarget{Cookie: c, Age: age})
+	}
+	sort.Slice(l, func(i, j int) bool { return l[i].Cookie < l[j].Cookie })
+	return l
+}
+
 // sums adds up loads by subject.
 type sums map[encoder.Subject]encoder.Load
 
--- a/internal/knowledge/planner/planner.go
+++ b/internal/knowledge/planner/planner.go
@@ -84,6 +84,8 @@
 	// age is the age of the host's knowledge at its last beacon.
 	age          time.Duration
 	loads, total encoder.Loads
+	// down lists the targets that the host reported as down at its last beacon.
+	down encoder.DownTargets
 }
 
 // Planner decides from received beacons and the time. It is safe for concurrent
@@ -151,7 +153,7 @@
 	isNew = regular && (x.incarnation != b.Incarnation || !x.reported)
 	x.reported = x.reported || regular
 	x.EntryHost, x.incarnation, x.lastBeacon, x.leaving = b.Host, b.Incarnation, now, b.Leaving
-	x.age, x.loads, x.total = b.Age, b.Loads, b.Total
+	x.age, x.loads, x.total, x.down = b.Age, b.Loads, b.Total, b.Down
 	return isNew
 }
 
--- a/internal/knowledge/planner/planner_test.go
+++ b/internal/knowledge/planner/planner_test.go
@@ -121,6 +121,20 @@
 	g.Expect(others).To(Equal(load(41)))
 }
 
+func TestReportsOfDownTargetsArePassedOnUntilTheyExpire(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlanner(host(0, 1))
+	report := func(age time.Duration) encoder.DownTargets { return encoder.DownTargets{{Cookie: 7, Age: age}} }
+	p.HandleBeacon(now, &encoder.Beacon{Host: host(0, 2), Down: report(300 * time.Millisecond)})
+	p.HandleBeacon(now, &encoder.Beacon{Host: host(1, 1), Down: report(100 * time.Millisecond)})
+	own := encoder.DownTargets{{Cookie: 3}}
+	all, others := p.AggregateDown(now.Add(time.Second), own)
+	g.Expect(others).To(Equal(report(1100*time.Millisecond)), "the newest evidence counts")
+	g.Expect(all).To(Equal(append(own, others...)))
+	all, others = p.AggregateDown(now.Add(1500*time.Millisecond), nil)
+	g.Expect(append(all, others...)).To(BeEmpty(), "passing a report on does not renew it")
+}
+
 func TestLostAndRecoveredPeersAreReportedOnce(t *testing.T) {
 	g := NewWithT(t)
 	p := newPlanner(host(0, 2))
--- a/internal/standin/simulator/caller.go
+++ b/internal/standin/simulator/caller.go
@@ -10,6 +10,7 @@
 
 const (
 	deadline                 = 1500 * time.Millisecond
+	latencyObjective         = 180 * time.Millisecond
 	openTimeout              = 1400 * time.Millisecond
 	maxAttempts              = 3
 	thinkTime                = time.Second
--- a/internal/standin/simulator/oracle.go
+++ b/internal/standin/simulator/oracle.go
@@ -13,6 +13,9 @@
 // Result holds the results of a run.
 type Result struct {
 	Requests, Served, Failed int
+	// InTime is the number of served requests that were answered within the latency
+	// objective.
+	InTime int
 	// Violations lists the violated invariants.
 	Violations []string
 	// StoreCalls counts the calls of the store.
@@ -36,6 +39,7 @@
 	sim        *Simulation
 	requests   int
 	served     int
+	inTime     int
 	failed     int
 	storeCalls int
 	// peerBytes counts the bytes that hosts sent to each other in datagrams.
@@ -110,6 +114,9 @@
 		return
 	}
 	o.served++
+	if o.sim.now.Sub(r.startedAt) <= latencyObjective {
+		o.inTime++
+	}
 	if afterRecovery {
 		o.servedAfterRecovery++
 	}
@@ -241,7 +248,7 @@
 		o.reportViolation("RECOVER", "%d of %d requests served after all hosts were killed", o.servedAfterRecovery, o.requestsAfterRecovery)
 	}
 	return Result{
-		Requests: o.requests, Served: o.served, Failed: o.failed, Violations: o.violations, StoreCalls: o.storeCalls, PeerBytes: o.peerBytes,
+		Requests: o.requests, Served: o.served, InTime: o.inTime, Failed: o.failed, Violations: o.violations, StoreCalls: o.storeCalls, PeerBytes: o.peerBytes,
 		RecoveryTime: o.recoveryTime(),
 	}
 }
--- a/internal/standin/simulator/scenario.go
+++ b/internal/standin/simulator/scenario.go
@@ -21,6 +21,9 @@
 	Faults []Fault  `yaml:"faults"`
 	// MinServed is the minimum share of requests that must be served in time.
 	MinServed float64 `yaml:"served"`
+	// MinInTime is the minimum share of requests that must be served within the
+	// latency objective.
+	MinInTime float64 `yaml:"in_time"`
 	// MaxStoreCallRate is the maximum number of store calls per second, averaged over
 	// the run; 0 means no limit.
 	MaxStoreCallRate float64 `yaml:"calls"`
--- a/internal/standin/simulator/simulator_test.go
+++ b/internal/standin/simulator/simulator_test.go
@@ -37,6 +37,7 @@
 				g.Expect(r.Violations).To(BeEmpty(), "seed %d", seed)
 				g.Expect(r.Requests).To(BeNumerically(">", 100))
 				g.Expect(float64(r.Served)/float64(r.Served+r.Failed)).To(BeNumerically(">=", scenario.MinServed), "seed %d", seed)
+				g.Expect(float64(r.InTime)/float64(r.Served+r.Failed)).To(BeNumerically(">=", scenario.MinInTime), "seed %d", seed)
 				if scenario.MaxStoreCallRate > 0 {
 					length := scenario.WarmUp.Duration + scenario.Length.Duration
 					g.Expect(float64(r.StoreCalls)/length.Seconds()).To(BeNumerically("<=", scenario.MaxStoreCallRate), "seed %d", seed)
@@ -45,7 +46,7 @@
 					g.Expect(r.RecoveryTime).To(BeNumerically("<=", scenario.MaxRecoveryTime.Duration), "seed %d", seed)
 				}
 				t.Logf("seed %d: back after %s", seed, r.RecoveryTime)
-				t.Logf("seed %d: %d asked, %d served, %d failed, %d calls", seed, r.Requests, r.Served, r.Failed, r.StoreCalls)
+				t.Logf("seed %d: %d asked, %d served, %d in time, %d failed, %d calls", seed, r.Requests, r.Served, r.InTime, r.Failed, r.StoreCalls)
 			}
 		})
 	}
--- a/internal/steering/balancer/health.go
+++ b/internal/steering/balancer/health.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/knowledge/encoder"
 )
 
 const (
@@ -67,8 +68,15 @@
 	lastAlive, lastMissed cactuspin.Time
 	trustedUntil          cactuspin.Time
 	nextProbe             cactuspin.Time
-	// silentProbes is the number of silent probes since the target last showed life.
+	// lastAnsweredProbe is the beginning of the last probe that the target answered.
+	lastAnsweredProbe cactuspin.Time
+	// silentProbes is the number of silent probes since the target last showed life,
+	// foundDownAt the time of the last probe that found it down.
 	silentProbes int
+	foundDownAt  cactuspin.Time
+	// reportedUntil is how long new flows avoid the target because another host found
+	// it down.
+	reportedUntil cactuspin.Time
 }
 
 // recordMiss records that a packet sent at sent was not answered until now. It
@@ -106,7 +114,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	wasDown := h.condition >= down
-	h.lastAlive, h.condition, h.silentProbes = now, healthy, 0
+	h.lastAlive, h.condition, h.silentProbes, h.reportedUntil = now, healthy, 0, 0
 	return wasDown
 }
 
@@ -130,15 +138,16 @@
 	before := h.condition
 	switch {
 	case f == FindingAlive:
-		h.condition, h.silentProbes, h.trustedUntil = healthy, 0, now.Add(probeTrustTime)
+		h.condition, h.silentProbes, h.trustedUntil, h.reportedUntil = healthy, 0, now.Add(probeTrustTime), 0
+		h.lastAnsweredProbe = began
 		return before >= down
 	case f == FindingNone || before == healthy || h.lastAlive >= began:
 		return false
 	case f == FindingRefused:
-		h.condition = dead
+		h.condition, h.foundDownAt = dead, now
 	default:
 		h.silentProbes++
-		h.condition = down
+		h.condition, h.foundDownAt = down, now
 		if h.silentProbes >= silentProbesUntilDead {
 			h.condition = dead
 		}
@@ -146,11 +155,34 @@
 	return h.condition != before
 }
 
+// contradicts reports whether this host knows better than a report that the target
+// was found down at some time.
+func (h *health) contradicts(now, foundDownAt cactuspin.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lastAlive >= foundDownAt || h.lastAnsweredProbe >= foundDownAt || now >= foundDownAt.Add(encoder.DownLifetime)
+}
+
+// recordReport records that another host found the target down at some time. New
+// flows avoid the target until the report expires; nothing else follows from it.
+func (h *health) recordReport(foundDownAt cactuspin.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reportedUntil = max(h.reportedUntil, foundDownAt.Add(encoder.DownLifetime))
+}
+
+// lastFoundDown returns when this host last found the target down, if it is still down.
+func (h *health) lastFoundDown() (at cactuspin.Time, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.foundDownAt, h.condition >= down
+}
+
 // avoided reports whether new flows should go to other targets.
 func (h *health) avoided(now cactuspin.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.condition >= down || (h.condition == suspect && now.Sub(h.lastMissed) < suspectTimeout)
+	return now < h.reportedUntil || h.condition >= down || (h.condition == suspect && now.Sub(h.lastMissed) < suspectTimeout)
 }
 
 // isHealthy reports whether the target is neither suspect nor down.
