Stop reading the store when another host of the zone reads instead

Cause: a host whose knowledge got too old reads the store and goes on for 3 s. When an outage ends, all hosts have got there; all targets register again at that moment, each watch returns at once, and 195 hosts make ten calls a second each.

Change: beacons and updates name the reader that their age is based on. A host that reads out of turn stops as soon as a host of its zone with a lower address has fresh knowledge that another one read. Where that host depends on this one (the store refuses it), this one goes on, as before.

--- a/internal/entry/engine/peers.go
+++ b/internal/entry/engine/peers.go
@@ -7,6 +7,7 @@
 	"github.com/cactuspin/cactuspin"
 	"github.com/cactuspin/cactuspin/internal/knowledge/encoder"
 	"github.com/cactuspin/cactuspin/internal/knowledge/planner"
+	"github.com/cactuspin/cactuspin/internal/knowledge/tracker"
 )
 
 // sendBeacons sends beacons: to hosts of this zone with the load of all hosts,
@@ -39,6 +40,7 @@
 		LastChange:  p.LastChange,
 		Age:         p.Age,
 		HealthyFor:  p.HealthyFor,
+		Reader:      p.Reader,
 		Complete:    p.Complete,
 		Leaving:     e.leaving,
 	}
@@ -72,7 +74,8 @@
 	if !b.Complete || now < e.trustAfter {
 		return
 	}
-	if !e.tracker.Confirm(now, b.Revision, b.LastChange, b.Age, b.HealthyFor) {
+	confirmation := tracker.Confirmation{Revision: b.Revision, LastChange: b.LastChange, Age: b.Age, HealthyFor: b.HealthyFor, Reader: b.Reader}
+	if !e.tracker.Confirm(now, confirmation) {
 		e.fetch(now, b.Host.Address, out)
 		return
 	}
--- a/internal/entry/engine/store.go
+++ b/internal/entry/engine/store.go
@@ -95,6 +95,6 @@
 			e.store.nextCall = now.Add(batchDelay)
 		}
 	}
-	u.HealthyFor = healthyFor
+	u.HealthyFor, u.Reader = healthyFor, e.c.Self.Address
 	e.merge(now, u, "store", out)
 }
--- a/internal/knowledge/encoder/encoder.go
+++ b/internal/knowledge/encoder/encoder.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -118,6 +119,8 @@
 	Total Loads `cbor:"11,keyasint,omitempty"`
 	// Down lists targets that some host found down.
 	Down DownTargets `cbor:"12,keyasint,omitempty"`
+	// Reader is the host whose read of the store Age is based on.
+	Reader netip.Addr `cbor:"13,keyasint"`
 }
 
 // Datagram is a datagram between hosts; exactly one field is set.
--- a/internal/knowledge/planner/planner.go
+++ b/internal/knowledge/planner/planner.go
@@ -38,7 +38,7 @@
 	// in place of an unresponsive reader, so that not all hosts start at once.
 	rankDelay = 150 * time.Millisecond
 	// minReadTime is how long a host continues to read after its knowledge was
-	// too old.
+	// too old, unless another one reads instead.
 	minReadTime = 3 * time.Second
 	// fetchInterval is the minimum time between two fetches from the same peer.
 	fetchInterval = 100 * time.Millisecond
@@ -81,8 +81,10 @@
 	// reported is set when HandleBeacon reports the host as new and cleared
 	// when Tick reports it as unresponsive.
 	reported bool
-	// age is the age of the host's knowledge at its last beacon.
+	// age is the age of the host's knowledge at its last beacon, reader the host whose
+	// read of the store that is based on.
 	age          time.Duration
+	reader       netip.Addr
 	loads, total encoder.Loads
 	// down lists the targets that the host reported as down at its last beacon.
 	down encoder.DownTargets
@@ -153,7 +155,7 @@
 	isNew = regular && (x.incarnation != b.Incarnation || !x.reported)
 	x.reported = x.reported || regular
 	x.EntryHost, x.incarnation, x.lastBeacon, x.leaving = b.Host, b.Incarnation, now, b.Leaving
-	x.age, x.loads, x.total, x.down = b.Age, b.Loads, b.Total, b.Down
+	x.age, x.reader, x.loads, x.total, x.down = b.Age, b.Reader, b.Loads, b.Total, b.Down
 	return isNew
 }
 
@@ -225,10 +227,28 @@
 	}
 	if known.Age > p.c.MaxAge+time.Duration(rank)*rankDelay {
 		p.readUntil = now.Add(minReadTime)
+		return true
+	}
+	if p.hasReaderInstead(now) {
+		p.readUntil = 0
 	}
 	return now < p.readUntil
 }
 
+// hasReaderInstead reports whether a host of this zone that takes precedence over
+// this one has fresh knowledge which another host read. Without this, all hosts
+// would go on reading after an outage of the store, when there is the most to read.
+func (p *Planner) hasReaderInstead(now cactuspin.Time) bool {
+	for a, x := range p.peers {
+		preceding := x.Zone == p.c.Self.Zone && !x.leaving && a.Less(p.c.Self.Address)
+		since := now.Sub(x.lastBeacon)
+		if preceding && since <= livenessTimeout && x.age+since <= p.c.MaxAge && x.reader.IsValid() && x.reader != p.c.Self.Address {
+			return true
+		}
+	}
+	return false
+}
+
 // hasPrecedingLeader reports whether a leader of another zone has fresh knowledge
 // and takes precedence over this host, because its address is lower or this
 // host's knowledge is too old.
--- a/internal/knowledge/planner/planner_test.go
+++ b/internal/knowledge/planner/planner_test.go
@@ -83,6 +83,23 @@
 	g.Expect(tick(p, now.Add(4*time.Second), 0).ReadStore).To(BeFalse())
 }
 
+func TestAHostStopsReadingWhenAnotherOneReadsInstead(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlanner(host(0, 9))
+	hear := func(from cactuspin.EntryHost, reader cactuspin.EntryHost) {
+		p.HandleBeacon(now, &encoder.Beacon{Host: from, Incarnation: 5, Complete: true, Reader: reader.Address})
+	}
+	hear(host(0, 1), host(0, 9))
+	g.Expect(tick(p, now, 2*maxAge).ReadStore).To(BeTrue())
+	g.Expect(tick(p, now, 0).ReadStore).To(BeTrue(), "the preceding host depends on this one")
+	hear(host(0, 12), host(0, 12))
+	hear(host(1, 1), host(1, 1))
+	g.Expect(tick(p, now, 0).ReadStore).To(BeTrue(), "neither a later host nor one of another zone takes precedence")
+	hear(host(0, 2), host(1, 1))
+	g.Expect(tick(p, now, 0).ReadStore).To(BeFalse(), "a preceding host is kept up to date by another reader")
+	g.Expect(tick(p, now, 2*maxAge).ReadStore).To(BeTrue(), "old knowledge makes any host read")
+}
+
 func TestNumberOfBeaconsIsLinearInTheSizeOfTheZone(t *testing.T) {
 	g := NewWithT(t)
 	sent := 0
--- a/internal/knowledge/tracker/tracker.go
+++ b/internal/knowledge/tracker/tracker.go
@@ -5,6 +5,7 @@
 package tracker
 
 import (
+	"net/netip"
 	"sort"
 	"sync"
 	"time"
@@ -53,6 +54,8 @@
 	// confirmedAt is the last time at which revision was known to be the
 	// newest.
 	confirmedAt cactuspin.Time
+	// reader is the host whose read of the store confirmedAt is based on.
+	reader netip.Addr
 	// healthySince is the time since which the store has answered without an
 	// error.
 	healthySince cactuspin.Time
@@ -82,6 +85,8 @@
 	HealthyFor     time.Duration
 	RoutingVersion cactuspin.RoutingVersion
 	Targets        int
+	// Reader is the host whose read of the store Age is based on.
+	Reader netip.Addr
 	// Complete reports that a full update was merged, Loaded that routes are
 	// known too.
 	Complete, Loaded bool
@@ -91,7 +96,7 @@
 func (tr *Tracker) Position(now cactuspin.Time) Position {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	p := Position{Revision: tr.revision, LastChange: tr.lastChange, Age: tr.age(now), Complete: tr.complete, Loaded: tr.loaded(), Targets: len(tr.targets)}
+	p := Position{Revision: tr.revision, LastChange: tr.lastChange, Age: tr.age(now), Complete: tr.complete, Loaded: tr.loaded(), Targets: len(tr.targets), Reader: tr.reader}
 	p.HealthyFor = max(0, now.Sub(tr.healthySince))
 	if tr.routing != nil {
 		p.RoutingVersion = tr.routing.Version
@@ -133,22 +138,30 @@
 		tr.routing, c.Routing = r, r
 		tr.lastChange = max(tr.lastChange, r.Revision)
 	}
-	tr.confirm(now, u.Revision, u.Age)
+	tr.confirm(now, u.Revision, u.Age, u.Reader)
 	tr.complete = tr.complete || u.Full
 	return c, true
 }
 
-// Confirm records that revision was the newest one age ago and that the last
-// change up to it was at lastChange. It reports false if the knowledge does not
-// include that change, so that an update is needed.
-func (tr *Tracker) Confirm(now cactuspin.Time, revision, lastChange cactuspin.Revision, age, healthyFor time.Duration) bool {
+// Confirmation says that a revision was the newest one some time ago.
+type Confirmation struct {
+	// Revision is the confirmed revision, LastChange that of the last change up to it.
+	Revision, LastChange cactuspin.Revision
+	Age, HealthyFor      time.Duration
+	// Reader is the host whose read of the store this is based on.
+	Reader netip.Addr
+}
+
+// Confirm records a confirmation. It reports false if the knowledge does not include
+// the last change, so that an update is needed.
+func (tr *Tracker) Confirm(now cactuspin.Time, c Confirmation) bool {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	if !tr.complete || tr.revision < lastChange {
+	if !tr.complete || tr.revision < c.LastChange {
 		return false
 	}
-	tr.healthySince = max(tr.healthySince, now.Add(-healthyFor))
-	tr.confirm(now, revision, age)
+	tr.healthySince = max(tr.healthySince, now.Add(-c.HealthyFor))
+	tr.confirm(now, c.Revision, c.Age, c.Reader)
 	return true
 }
 
@@ -160,12 +173,14 @@
 	tr.healthySince = now
 }
 
-func (tr *Tracker) confirm(now cactuspin.Time, revision cactuspin.Revision, age time.Duration) {
+func (tr *Tracker) confirm(now cactuspin.Time, revision cactuspin.Revision, age time.Duration, reader netip.Addr) {
 	if revision < tr.revision {
 		return
 	}
 	tr.revision = revision
-	tr.confirmedAt = max(tr.confirmedAt, now.Add(-age))
+	if at := now.Add(-age); at > tr.confirmedAt {
+		tr.confirmedAt, tr.reader = at, reader
+	}
 }
 
 // removeUnlisted removes the registrations that a full update does not list.
@@ -253,7 +268,7 @@
 	if !tr.complete {
 		return u, false
 	}
-	u = cactuspin.Update{Revision: tr.revision, Age: tr.age(now), HealthyFor: max(0, now.Sub(tr.healthySince))}
+	u = cactuspin.Update{Revision: tr.revision, Age: tr.age(now), HealthyFor: max(0, now.Sub(tr.healthySince)), Reader: tr.reader}
 	u.Full = tr.needsFullUpdate(after)
 	if u.Full {
 		after = 0
--- a/internal/knowledge/tracker/tracker_test.go
+++ b/internal/knowledge/tracker/tracker_test.go
@@ -1,6 +1,7 @@
 package tracker_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -60,8 +61,8 @@
 	tr := loaded(g)
 	_, ok := tr.Merge(now, &cactuspin.Update{After: 11, Revision: 12})
 	g.Expect(ok).To(BeFalse())
-	g.Expect(tr.Confirm(now, 12, 11, 0, 0)).To(BeFalse(), "a change at 11 is missing")
-	g.Expect(tr.Confirm(now, 12, 9, 0, 0)).To(BeTrue(), "nothing changed since")
+	g.Expect(tr.Confirm(now, tracker.Confirmation{Revision: 12, LastChange: 11})).To(BeFalse(), "a change at 11 is missing")
+	g.Expect(tr.Confirm(now, tracker.Confirmation{Revision: 12, LastChange: 9})).To(BeTrue(), "nothing changed since")
 	g.Expect(tr.Position(now).Revision).To(Equal(cactuspin.Revision(12)))
 }
 
@@ -114,8 +115,13 @@
 	tr := loaded(g)
 	later := now.Add(2 * time.Second)
 	g.Expect(tr.Position(later).Age).To(Equal(2 * time.Second))
-	tr.Confirm(later, 10, 9, 300*time.Millisecond, 0)
+	one, other := netip.MustParseAddr("10.1.0.1"), netip.MustParseAddr("10.1.0.2")
+	tr.Confirm(later, tracker.Confirmation{Revision: 10, LastChange: 9, Age: 300 * time.Millisecond, Reader: one})
 	g.Expect(tr.Position(later).Age).To(Equal(300 * time.Millisecond))
-	tr.Confirm(later, 9, 9, 0, 0)
+	tr.Confirm(later, tracker.Confirmation{Revision: 9, LastChange: 9, Reader: other})
 	g.Expect(tr.Position(later).Age).To(Equal(300*time.Millisecond), "a report of an older revision confirms nothing")
+	tr.Confirm(later, tracker.Confirmation{Revision: 10, LastChange: 9, Age: 400 * time.Millisecond, Reader: other})
+	g.Expect(tr.Position(later).Reader).To(Equal(one), "its read is the newer one")
+	tr.Confirm(later, tracker.Confirmation{Revision: 10, LastChange: 9, Age: 200 * time.Millisecond, Reader: other})
+	g.Expect(tr.Position(later).Reader).To(Equal(other))
 }
--- a/steering.go
+++ b/steering.go
@@ -122,6 +122,8 @@
 	Removed    []RemovedTarget    `cbor:"8,keyasint,omitempty"`
 	// Hosts are the entry hosts that announced themselves.
 	Hosts []EntryHost `cbor:"9,keyasint,omitempty"`
+	// Reader is the host whose read of the store Age is based on.
+	Reader netip.Addr `cbor:"10,keyasint"`
 	// Next is the start of the next page of a read; empty after the last page.
 	Next Cursor `cbor:"-"`
 }
