--- a/internal/knowledge/encoder/encoder.go
+++ b/internal/knowledge/encoder/encoder.go
@@ -144,10 +144,41 @@
 	if (d.Beacon == nil) == (d.Update == nil) {
 		return d, errors.New("datagram must contain either a beacon or an update")
 	}
-	if d.Beacon != nil && !d.Beacon.Host.Address.Is4() {
-		return d, errors.New("beacon without an IPv4 address")
+	if d.Update != nil {
+		return d, checkUpdate(d.Update)
 	}
-	return d, nil
+	return d, checkHost(d.Beacon.Host)
+}
+
+// checkUpdate reports addresses that the receiver cannot use. Other processes can
+// reach the ports between hosts, too, so that an update may come from one of them.
+func checkUpdate(u *cactuspin.Update) error {
+	for i := range u.Targets {
+		if !u.Targets[i].Address.Addr().Is4() {
+			return errors.Newf("target %q without an IPv4 address", u.Targets[i].ID)
+		}
+	}
+	for _, h := range u.Hosts {
+		if err := checkHost(h); err != nil {
+			return err
+		}
+	}
+	if u.Routing == nil {
+		return nil
+	}
+	for i := range u.Routing.Routes {
+		if !u.Routing.Routes[i].Address.Addr().Is4() {
+			return errors.Newf("route %q without an IPv4 address", u.Routing.Routes[i].Name)
+		}
+	}
+	return nil
+}
+
+func checkHost(h cactuspin.EntryHost) error {
+	if !h.Address.Is4() {
+		return errors.New("host without an IPv4 address")
+	}
+	return nil
 }
 
 // EncodeUpdate encodes the body of an update that a peer fetches.
@@ -158,5 +189,9 @@
 
 // DecodeUpdate decodes the body of a fetched update.
 func DecodeUpdate(b []byte) (u cactuspin.Update, err error) {
-	return u, errors.Wrap(cbor.Unmarshal(b, &u), "decode update")
+	defer func() { err = errors.Wrap(err, "decode update") }()
+	if err := cbor.Unmarshal(b, &u); err != nil {
+		return u, errors.WithStack(err)
+	}
+	return u, checkUpdate(&u)
 }
--- a/internal/knowledge/encoder/encoder_test.go
+++ b/internal/knowledge/encoder/encoder_test.go
@@ -71,6 +71,29 @@
 	}
 }
 
+// The flow table and the prober take the four bytes of an address, which panics for
+// any other kind of address.
+func TestUpdatesWithoutIPv4AddressesAreRejected(t *testing.T) {
+	g := NewWithT(t)
+	six := netip.MustParseAddrPort("[2001:db8::1]:80")
+	for _, u := range []cactuspin.Update{
+		{Targets: []cactuspin.RegisteredTarget{{ID: "x"}}},
+		{Targets: []cactuspin.RegisteredTarget{{ID: "x", Address: six}}},
+		{Routing: &cactuspin.Routing{Routes: []cactuspin.Route{{Name: "r"}}}},
+		{Routing: &cactuspin.Routing{Routes: []cactuspin.Route{{Name: "r", Address: six}}}},
+		{Hosts: []cactuspin.EntryHost{{Zone: "a"}}},
+	} {
+		b, err := encoder.Encode(&encoder.Datagram{Update: &u})
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = encoder.Decode(b)
+		g.Expect(err).To(MatchError(ContainSubstring("IPv4")))
+		b, err = encoder.EncodeUpdate(&u)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = encoder.DecodeUpdate(b)
+		g.Expect(err).To(MatchError(ContainSubstring("IPv4")))
+	}
+}
+
 func FuzzDecode(f *testing.F) {
 	d := sample()
 	b, err := encoder.Encode(&d)
