End hosts whose sockets fail, and find zones again after a long cut

After a longer cut between zones no host of one knew a host of the other: each zone read the store for itself and knew nothing of the other's load, until a host was replaced. Hosts of a zone that is silent as a whole are kept, and the leader tries one of them with each beacon, for each such zone instead of one for all. - A host that led its zone for a moment logged the other zones' leaders as silent.

--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -108,20 +108,14 @@
 	defer cancel()
 	h.start(ctx)
 	logger.Info("host: started", slog.String("host", s.Name), slog.String("zone", string(s.Zone)), slog.String("packets", s.PacketAddress.String()), slog.String("build", Build))
+	ended := h.ended()
 	for {
 		select {
 		case <-signals.reload:
 			h.reload(true)
 		case <-signals.stop:
-			h.drain()
-			return nil
-		case err := <-h.forwarder.Done():
-			return err
-		case err := <-h.gossiper.Done():
-			return err
-		case err := <-h.server.Done():
-			return err
-		case err := <-h.prober.Done():
+			return h.drain(ended)
+		case err := <-ended:
 			return err
 		}
 	}
--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -162,6 +162,36 @@
 	g.Eventually(h.server.Done(), timeout).Should(Receive())
 }
 
+// newTestHost returns a host with the settings of the tests at another address.
+func newTestHost(t *testing.T, g *WithT, at string) *host {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "local.yaml")
+	g.Expect(os.WriteFile(path, []byte(strings.ReplaceAll(settingsText, address, at)), 0o600)).To(Succeed())
+	settingsFile := platform.NewSettingsFile(path)
+	settings, err := settingsFile.Load()
+	g.Expect(err).NotTo(HaveOccurred())
+	h, err := newHost(&options{}, settingsFile, &settings, slog.New(slog.DiscardHandler), writer.New(io.Discard))
+	g.Expect(err).NotTo(HaveOccurred())
+	return h
+}
+
+// A driver that fails during a planned stop must not look like a planned end.
+func TestADriverThatFailsDuringAStopIsReported(t *testing.T) {
+	g := NewWithT(t)
+	h := newTestHost(t, g, "127.77.1.1")
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h.start(ctx)
+	ended := make(chan error, 1)
+	ended <- net.ErrClosed
+	g.Expect(h.drain(ended)).To(MatchError(net.ErrClosed))
+	cancel()
+	driversEnded := h.ended()
+	for range 4 {
+		g.Eventually(driversEnded, timeout).Should(Receive())
+	}
+}
+
 func TestHelpAndInvalidSettings(t *testing.T) {
 	g := NewWithT(t)
 	var out, errOut strings.Builder
--- a/internal/app/entry/host.go
+++ b/internal/app/entry/host.go
@@ -205,20 +205,38 @@
 	}
 }
 
+// ended returns a channel that reports the end of each driver without which the host
+// cannot work.
+func (h *host) ended() <-chan error {
+	parts := []<-chan error{h.forwarder.Done(), h.gossiper.Done(), h.server.Done(), h.prober.Done()}
+	ended := make(chan error, len(parts))
+	for _, done := range parts {
+		go func() { ended <- <-done }()
+	}
+	return ended
+}
+
 // drain announces the planned stop and keeps forwarding until the fabric no longer
-// sends packets to this host, or until the grace period is almost over.
-func (h *host) drain() {
+// sends packets to this host, or until the grace period is almost over. It returns
+// the error of a driver that ends meanwhile.
+func (h *host) drain(ended <-chan error) error {
 	h.handle(func(_ cactuspin.Time, out *engine.Actions) { h.engine.Stop(out) })
 	startTime := h.common.Clock()
+	t := time.NewTicker(stopCheckInterval)
+	defer t.Stop()
 	for {
-		time.Sleep(stopCheckInterval)
+		select {
+		case err := <-ended:
+			return err
+		case <-t.C:
+		}
 		now := h.common.Clock()
 		elapsed := now.Sub(startTime)
 		if elapsed > h.settings.Load().StopGracePeriod-stopMargin {
-			return
+			return nil
 		}
 		if elapsed > readinessDelay && now.Sub(h.forwarder.LastPacketTime()) > idleTime {
-			return
+			return nil
 		}
 	}
 }
--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -84,15 +84,23 @@
 	}
 	b := make([]byte, cactuspin.TargetPrefixLength+cactuspin.MaxPacketLength)
 	var p cactuspin.Packet
+	var failures driver.ReadFailures
 	for {
 		n, _, err := f.socket.ReadFromUDPAddrPort(b[cactuspin.TargetPrefixLength:])
 		if err != nil {
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
-			f.cfg.Logger.Warn("packets: read failed", slog.Any("error", err))
+			first, broken := failures.Add(err)
+			if broken != nil {
+				return errors.Wrap(broken, "read packets")
+			}
+			if first {
+				f.cfg.Logger.Warn("packets: read failed", slog.Any("error", err))
+			}
 			continue
 		}
+		failures.Reset()
 		f.handle(b[:cactuspin.TargetPrefixLength+n], &p)
 	}
 }
--- a/internal/entry/gossiper/gossiper.go
+++ b/internal/entry/gossiper/gossiper.go
@@ -106,15 +106,23 @@
 
 func (g *Gossiper) receive(ctx context.Context) error {
 	b := make([]byte, maxDatagramLength)
+	var failures driver.ReadFailures
 	for {
 		n, from, err := g.socket.ReadFromUDPAddrPort(b)
 		if err != nil {
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
-			g.cfg.Logger.Warn("peer: read failed", slog.Any("error", err))
+			first, broken := failures.Add(err)
+			if broken != nil {
+				return errors.Wrap(broken, "read from peers")
+			}
+			if first {
+				g.cfg.Logger.Warn("peer: read failed", slog.Any("error", err))
+			}
 			continue
 		}
+		failures.Reset()
 		g.received.Add(uint64(n))
 		d, err := encoder.Decode(b[:n])
 		if err != nil {
--- a/internal/entry/httpserver/httpserver.go
+++ b/internal/entry/httpserver/httpserver.go
@@ -47,9 +47,10 @@
 	return s, nil
 }
 
-// Start serves until the context ends, which is reported on Done.
+// Start serves until the context ends or a listener fails, which is reported on
+// Done.
 func (s *Server) Start(ctx context.Context) {
-	var g errgroup.Group
+	g, ctx := errgroup.WithContext(ctx)
 	for i := range s.servers {
 		g.Go(func() error { return s.servers[i].Serve(s.listeners[i]) })
 	}
--- a/internal/knowledge/planner/planner.go
+++ b/internal/knowledge/planner/planner.go
@@ -8,8 +8,10 @@
 package planner
 
 import (
+	"maps"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -269,8 +271,13 @@
 // beacons have stopped.
 func (p *Planner) newlyUnresponsive(now cactuspin.Time) (hosts []netip.Addr) {
 	for a, x := range p.peers {
-		if x.reported && now.Sub(x.lastBeacon) > livenessTimeout {
-			x.reported = false
+		if !x.reported || now.Sub(x.lastBeacon) <= livenessTimeout {
+			continue
+		}
+		x.reported = false
+		// Hosts of other zones send beacons to leaders only, so their silence means
+		// nothing to a host that led its zone for a moment.
+		if p.leader || x.Zone == p.c.Self.Zone {
 			hosts = append(hosts, a)
 		}
 	}
@@ -278,9 +285,18 @@
 	return hosts
 }
 
+// removeExpired removes the hosts that have been silent for long. The hosts of a
+// zone that is silent as a whole are kept, since it may only be cut off: nothing else
+// would restore the contact to it.
 func (p *Planner) removeExpired(now cactuspin.Time) {
+	heard := map[cactuspin.ZoneID]bool{}
+	for _, x := range p.peers {
+		if now.Sub(x.lastBeacon) <= peerExpiry {
+			heard[x.Zone] = true
+		}
+	}
 	for a, x := range p.peers {
-		if now.Sub(x.lastBeacon) > peerExpiry {
+		if now.Sub(x.lastBeacon) > peerExpiry && (heard[x.Zone] || x.Zone == p.c.Self.Zone) {
 			delete(p.peers, a)
 		}
 	}
@@ -318,18 +334,18 @@
 	return known
 }
 
-// remoteRecipients returns the first live host of each other zone. One random
-// host of those that are leaving or unresponsive is added, so that contact to a
-// zone without a known live host can be restored.
+// remoteRecipients returns the first live host of each other zone. For a zone
+// without one, it returns a random host that is leaving or unresponsive, so that
+// contact can be restored.
 func (p *Planner) remoteRecipients(now cactuspin.Time) (to []netip.Addr) {
 	firstOf := map[cactuspin.ZoneID]netip.Addr{}
-	var unresponsive []netip.Addr
+	silentOf := map[cactuspin.ZoneID][]netip.Addr{}
 	for a, x := range p.peers {
 		if x.Zone == p.c.Self.Zone {
 			continue
 		}
 		if x.leaving || now.Sub(x.lastBeacon) > livenessTimeout {
-			unresponsive = append(unresponsive, a)
+			silentOf[x.Zone] = append(silentOf[x.Zone], a)
 			continue
 		}
 		if b, ok := firstOf[x.Zone]; !ok || a.Less(b) {
@@ -339,11 +355,14 @@
 	for _, a := range firstOf {
 		to = append(to, a)
 	}
-	sort.Slice(to, func(i, j int) bool { return to[i].Less(to[j]) })
-	if len(unresponsive) > 0 {
-		sort.Slice(unresponsive, func(i, j int) bool { return unresponsive[i].Less(unresponsive[j]) })
-		to = append(to, unresponsive[p.random.IntN(len(unresponsive))])
+	for _, z := range slices.Sorted(maps.Keys(silentOf)) {
+		if _, live := firstOf[z]; !live {
+			silent := silentOf[z]
+			sort.Slice(silent, func(i, j int) bool { return silent[i].Less(silent[j]) })
+			to = append(to, silent[p.random.IntN(len(silent))])
+		}
 	}
+	sort.Slice(to, func(i, j int) bool { return to[i].Less(to[j]) })
 	return to
 }
 
--- a/internal/knowledge/planner/planner_test.go
+++ b/internal/knowledge/planner/planner_test.go
@@ -152,6 +152,41 @@
 	g.Expect(append(all, others...)).To(BeEmpty(), "passing a report on does not renew it")
 }
 
+// Regions can lose each other for an hour.
+func TestContactToAZoneIsRestoredAfterALongCut(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlanner(host(0, 1))
+	receiveBeacons(p, now, 0, host(0, 2), host(1, 1), host(1, 2), host(2, 1))
+	tick(p, now, 0)
+	at := now.Add(time.Hour)
+	receiveBeacons(p, at, 0, host(2, 1), host(0, 3))
+	sent := map[netip.Addr]bool{}
+	for range 40 {
+		at = at.Add(planner.BeaconInterval)
+		receiveBeacons(p, at, 0, host(2, 1), host(0, 3))
+		plan := tick(p, at, 0)
+		g.Expect(len(plan.RemoteRecipients)).To(BeNumerically("<=", 2), "one host of each zone")
+		for _, a := range plan.RemoteRecipients {
+			sent[a] = true
+		}
+	}
+	g.Expect(sent).To(HaveLen(3))
+	g.Expect(sent).To(HaveKey(host(1, 1).Address))
+	g.Expect(sent).To(HaveKey(host(1, 2).Address))
+	g.Expect(tick(p, at, 0).ZoneRecipients).NotTo(ContainElement(host(0, 2).Address), "its own zone is not cut off")
+}
+
+func TestAHostThatLedForAMomentReportsNoOtherZone(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlanner(host(0, 2))
+	tick(p, now, 0)
+	p.HandleBeacon(now, &encoder.Beacon{Host: host(1, 1), Incarnation: 6, Complete: true})
+	receiveBeacons(p, now, 0, host(0, 1))
+	at := now.Add(2 * time.Second)
+	receiveBeacons(p, at, 0, host(0, 1))
+	g.Expect(tick(p, at, 0).Unresponsive).To(BeEmpty())
+}
+
 func TestLostAndRecoveredPeersAreReportedOnce(t *testing.T) {
 	g := NewWithT(t)
 	p := newPlanner(host(0, 2))
