Place new flows by response times besides own counts

Load: bursts of 2.0 to 2.4 with slow targets, two slots and a queue of eight each. A host sees a third of the requests of a small zone and a fortieth of a large one, so its own counts say little about who waits at a target.

Change: a host compares the time to the first part of an answer with the mean of its route, keeps a running ratio for each target (weight 0.1, half-life 4 s, differences below 0.05 left out) and multiplies the counted load with it. Without the 0.05 a target that had been slow for a moment was never tried again while others were idle (two tests failed).

TestLoads plays loads on a virtual clock and counts what callers get.

--- a/internal/steering/balancer/balancer.go
+++ b/internal/steering/balancer/balancer.go
@@ -76,6 +76,8 @@
 type route struct {
 	*cactuspin.Route
 	answers *answerSizes
+	// responseTimes are those that this host has seen.
+	responseTimes *responseTimes
 }
 
 // New returns a balancer without knowledge, which drops every packet.
@@ -124,9 +126,9 @@
 	old := b.routes.Load()
 	for i := range r.Routes {
 		e := endpointOf(r.Routes[i].Address)
-		x := &route{Route: &r.Routes[i], answers: &answerSizes{}}
+		x := &route{Route: &r.Routes[i], answers: &answerSizes{}, responseTimes: &responseTimes{}}
 		if old != nil && old.routes[e] != nil {
-			x.answers = old.routes[e].answers
+			x.answers, x.responseTimes = old.routes[e].answers, old.routes[e].responseTimes
 		}
 		t.routes[e] = x
 	}
--- a/internal/steering/balancer/failure.go
+++ b/internal/steering/balancer/failure.go
@@ -69,12 +69,24 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	size := math.Log2(float64(max(1, bytes)))
-	short := a.count >= minAnswers && size < a.mean-shortAnswerLog2
+	short := a.short(size)
 	a.count++
 	a.mean += (size - a.mean) * max(answerWeight, 1/float64(a.count))
 	return short
 }
 
+// isShort reports whether an answer of a size is so short that the request probably
+// failed.
+func (a *answerSizes) isShort(bytes uint32) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.short(math.Log2(float64(max(1, bytes))))
+}
+
+func (a *answerSizes) short(size float64) bool {
+	return a.count >= minAnswers && size < a.mean-shortAnswerLog2
+}
+
 // recordAnswer records the end of the answer to the last request, which the caller
 // has acknowledged up to the given sequence number.
 func (f *flow) recordAnswer(acknowledged uint32) {
--- a/internal/steering/balancer/flow.go
+++ b/internal/steering/balancer/flow.go
@@ -197,6 +197,7 @@
 		f.target.health.recordAlive(now)
 		if f.requestedAt != 0 {
 			v.ResponseTime = now.Sub(f.requestedAt)
+			f.recordResponseTime(now, v.ResponseTime, p.Acknowledgement)
 		}
 		f.endRequest()
 	}
@@ -208,6 +209,19 @@
 	return answered
 }
 
+// recordResponseTime records the time from a request to the first part of its answer.
+// A target that refuses requests because it is full does so at once; this must not
+// make it look fast.
+func (f *flow) recordResponseTime(now cactuspin.Time, d time.Duration, acknowledged uint32) {
+	if f.answerPending && f.route.answers.isShort(acknowledged-f.answerStart) {
+		f.target.slowness.record(now, maxSlowness)
+		return
+	}
+	if ratio := f.route.responseTimes.record(d); ratio > 0 {
+		f.target.slowness.record(now, ratio)
+	}
+}
+
 func (f *flow) observeData(now cactuspin.Time, p *cactuspin.Packet, v *cactuspin.Verdict) {
 	if p.Length == 0 {
 		return
--- a/internal/steering/balancer/service.go
+++ b/internal/steering/balancer/service.go
@@ -153,11 +153,11 @@
 	busy := float64(t.busy.Load())
 	idle := float64(t.flows.Load()) - busy
 	slots := float64(t.registered.Slots)
-	l := (busy + idleFlowLoad*max(0, idle)) / slots
+	factor := t.slowness.factor(now)
 	if now < t.warmUntil {
-		l = (l + 1/slots) * warmupPenalty
+		factor = max(factor, warmupPenalty)
 	}
-	return l + t.failureLoad
+	return (busy+idleFlowLoad*max(0, idle)+1)/slots*factor + t.failureLoad
 }
 
 // updateUtilization computes the utilization of the zones from the requests of
--- a/internal/steering/balancer/target.go
+++ b/internal/steering/balancer/target.go
@@ -36,6 +36,7 @@
 	// meanBusy is the running mean of busy over about ten ticks.
 	meanBusy float64
 	health   health
+	slowness slowness
 	// newFailures counts the requests that failed since the last tick, failures is
 	// the decayed count of earlier ones. totalFailures includes the failures that
 	// other hosts report, failureLoad is the load that results from it.
@@ -62,6 +63,7 @@
 func (t *target) update(now cactuspin.Time, r *cactuspin.RegisteredTarget) {
 	if r.Started != t.registered.Started {
 		t.health.recordAlive(now)
+		t.slowness.reset()
 		t.failures = 0
 	}
 	t.registered = *r
