Refuse new flows at once if all targets of a service are dead

Cause: with no other target left, a new flow went to one that two silent probes or a refused connection had shown to be dead; its caller waited 1.4 s for nothing, for each of its tries. Targets that are only suspect, down after one silent probe or reported by others are still used where nothing better is. A silent probe no longer makes a target that refused connections less dead.

--- a/internal/steering/balancer/health.go
+++ b/internal/steering/balancer/health.go
@@ -147,7 +147,7 @@
 		h.condition, h.foundDownAt = dead, now
 	default:
 		h.silentProbes++
-		h.condition, h.foundDownAt = down, now
+		h.condition, h.foundDownAt = max(h.condition, down), now
 		if h.silentProbes >= silentProbesUntilDead {
 			h.condition = dead
 		}
@@ -199,6 +199,13 @@
 	return h.condition >= down
 }
 
+// isDead reports whether the target is dead.
+func (h *health) isDead() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.condition == dead
+}
+
 // allowsReset reports whether an open flow with new data may be reset. While the
 // target is only down, the flow itself must have got no answer, too: then a probe
 // that failed wrongly resets no flow that works.
--- a/internal/steering/balancer/service.go
+++ b/internal/steering/balancer/service.go
@@ -56,7 +56,7 @@
 
 // choose returns the target for a new flow of callers in the zone local. Targets
 // that fail much more often than others are used only if there is no other,
-// suspect targets last.
+// suspect targets last, and dead ones never.
 func (v *service) choose(now cactuspin.Time, local cactuspin.ZoneID, exclude *target, random *rand.Rand) *target {
 	var failing, suspect *target
 	if z := v.firstZone(local, random); z != nil {
@@ -136,7 +136,10 @@
 		}
 		compared++
 		if t.suspect(now) {
-			suspect = t
+			// A flow to a dead target would leave its caller waiting for nothing.
+			if !t.health.isDead() {
+				suspect = t
+			}
 			continue
 		}
 		if l := t.load(now); l < lowest {
