--- a/caller/caller.go
+++ b/caller/caller.go
@@ -41,8 +41,10 @@
 
 // The outcomes of a request.
 const (
+	// OutcomeNone is the outcome beside an error: no answer arrived.
+	OutcomeNone Outcome = iota
 	// OutcomeSuccess means that the complete answer arrived, with a success code.
-	OutcomeSuccess Outcome = iota
+	OutcomeSuccess
 	// OutcomeNotRun means that the request was refused and did not run.
 	OutcomeNotRun
 	// OutcomeRefused means that an idempotent request was refused; it can be repeated.
@@ -101,8 +103,9 @@
 
 // Caller is one flow to a service. It is safe for concurrent use.
 type Caller struct {
-	cfg  Config
-	done chan struct{}
+	cfg       Config
+	done      chan struct{}
+	closeOnce sync.Once
 
 	mu             sync.Mutex
 	conn           *net.UDPConn
@@ -154,14 +157,18 @@
 		return errors.WithStack(err)
 	}
 	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.closed() {
+		return errors.CombineErrors(errors.WithStack(net.ErrClosed), conn.Close())
+	}
 	k.conn = conn
-	k.mu.Unlock()
 	go k.read(conn)
 	return nil
 }
 
 // Reopen continues the flow on a new socket: the network path of the old one may
-// have failed while others work. The cookie is kept.
+// have failed while others work. The cookie is kept. It returns net.ErrClosed after
+// Close.
 func (k *Caller) Reopen() error {
 	k.mu.Lock()
 	old := k.conn
@@ -173,12 +180,24 @@
 	return errors.WithStack(old.Close())
 }
 
-// Close closes the socket of the flow.
-func (k *Caller) Close() error {
-	close(k.done)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return errors.WithStack(k.conn.Close())
+// Close closes the socket of the flow. Further calls do nothing.
+func (k *Caller) Close() (err error) {
+	k.closeOnce.Do(func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		close(k.done)
+		err = errors.WithStack(k.conn.Close())
+	})
+	return err
+}
+
+func (k *Caller) closed() bool {
+	select {
+	case <-k.done:
+		return true
+	default:
+		return false
+	}
 }
 
 // Do sends a request and waits for its answer. A request that is not idempotent
--- a/caller/observer.go
+++ b/caller/observer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"net"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -53,9 +54,13 @@
 	restarted    bool
 }
 
-// Observe observes a resource until the context ends; then the channel is closed.
+// Observe observes a resource until the context ends or the Caller is closed; then the
+// channel is closed.
 // States that are older than one already delivered are dropped.
 func (k *Caller) Observe(ctx context.Context, r Request) (<-chan Notification, error) {
+	if k.closed() {
+		return nil, errors.Wrap(net.ErrClosed, "observe")
+	}
 	o := &observation{caller: k, request: r, notifications: make(chan Notification, notificationQueueLength)}
 	if err := o.resetToken(); err != nil {
 		return nil, errors.Wrap(err, "observe")
@@ -97,6 +102,8 @@
 		case <-ctx.Done():
 			o.refresh([]byte{observeDeregister})
 			return
+		case <-o.caller.done:
+			return
 		case <-t.C:
 			o.tick()
 		case a := <-o.incoming:
--- a/internal/admission/limiter/limiter.go
+++ b/internal/admission/limiter/limiter.go
@@ -4,6 +4,7 @@
 package limiter
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -81,8 +82,11 @@
 // Limiter holds the slots and queues of one service on one host. It is not safe
 // for concurrent use.
 type Limiter struct {
-	cfg     Config
-	kinds   []*kindState
+	cfg   Config
+	kinds []*kindState
+	// removed holds the kinds that are no longer configured while exchanges of theirs
+	// are in progress.
+	removed []*kindState
 	targets map[cactuspin.Target]*target
 	// late holds the jobs that were removed from a queue because their deadline is
 	// too near; Expire returns them.
@@ -112,8 +116,8 @@
 // same name; the queued jobs of a removed kind are returned.
 func (l *Limiter) Configure(c Config) (dropped []Job) {
 	l.cfg = c
-	old := l.kinds
-	l.kinds = nil
+	old := slices.Concat(l.kinds, l.removed)
+	l.kinds, l.removed = nil, nil
 	for _, k := range c.Kinds {
 		state := &kindState{}
 		if i := slices.IndexFunc(old, func(x *kindState) bool { return x.Name == k.Name }); i >= 0 {
@@ -125,10 +129,32 @@
 	}
 	for _, k := range old {
 		dropped = append(dropped, k.queue...)
+		k.queue = nil
+		if k.busy > 0 {
+			l.removed = append(l.removed, k)
+		}
 	}
 	return dropped
 }
 
+// release ends an exchange of a kind, which may have been removed since. It returns
+// the kind, or nil if it is unknown.
+func (l *Limiter) release(name string) *kindState {
+	if k := l.kind(name); k != nil {
+		k.busy--
+		return k
+	}
+	i := slices.IndexFunc(l.removed, func(x *kindState) bool { return x.Name == name })
+	if i < 0 {
+		return nil
+	}
+	k := l.removed[i]
+	if k.busy--; k.busy == 0 {
+		l.removed = slices.Delete(l.removed, i, i+1)
+	}
+	return k
+}
+
 func (l *Limiter) kind(name string) *kindState {
 	for _, k := range l.kinds {
 		if k.Name == name {
@@ -167,18 +193,18 @@
 	for _, k := range l.kinds {
 		l.dropLate(now, k)
 	}
-	k := l.nextKind(now)
-	if k == nil {
-		return Job{}, t, false
-	}
-	x := l.pick(now, k.queue[0])
-	if x == nil {
-		return Job{}, t, false
+	for _, k := range l.kindsInOrder(now) {
+		// A retry may have to avoid the only free target; the jobs behind it need not.
+		for i := range k.queue {
+			if x := l.pick(now, k.queue[i]); x != nil {
+				j = k.queue[i]
+				k.queue = slices.Delete(k.queue, i, i+1)
+				l.acquire(x, k)
+				return j, x.address, true
+			}
+		}
 	}
-	j = k.queue[0]
-	k.queue = k.queue[1:]
-	l.acquire(x, k)
-	return j, x.address, true
+	return Job{}, t, false
 }
 
 // dropLate removes the first jobs of a queue that could not be answered in time,
@@ -231,11 +257,8 @@
 // its outcome. After OutcomeTimeout the target may still be processing the request:
 // its slot stays busy until ReleaseSlot is called.
 func (l *Limiter) Done(now cactuspin.Time, address cactuspin.Target, kind string, o Outcome, duration time.Duration) {
-	if k := l.kind(kind); k != nil {
-		k.busy--
-		if o == OutcomeAnswered {
-			k.meanDuration = smooth(k.meanDuration, duration)
-		}
+	if k := l.release(kind); k != nil && o == OutcomeAnswered {
+		k.meanDuration = smooth(k.meanDuration, duration)
 	}
 	t, ok := l.targets[address]
 	if !ok {
@@ -300,28 +323,27 @@
 	return time.Duration(float64(k.meanDuration) * float64(len(k.queue)+1) / slots)
 }
 
-// nextKind returns the kind whose first queued job is dispatched next: the one
-// furthest below its share, or the most important one if all have used up their
-// shares.
-func (l *Limiter) nextKind(now cactuspin.Time) (best *kindState) {
+// kindsInOrder returns the kinds with queued jobs in the order in which they are
+// dispatched: the one furthest below its share first, then the most important one of
+// those that have used up their shares.
+func (l *Limiter) kindsInOrder(now cactuspin.Time) (kinds []*kindState) {
 	total := float64(l.capacity(now))
+	if total == 0 {
+		return nil
+	}
 	for _, k := range l.kinds {
-		if len(k.queue) == 0 {
-			continue
-		}
-		if best == nil || k.servedBefore(best, total) {
-			best = k
+		if len(k.queue) > 0 {
+			kinds = append(kinds, k)
 		}
 	}
-	return best
-}
-
-func (k *kindState) servedBefore(o *kindState, total float64) bool {
-	x, y := k.shareUsage(total), o.shareUsage(total)
-	if x < 1 || y < 1 {
-		return x < y
-	}
-	return k.Importance < o.Importance
+	slices.SortStableFunc(kinds, func(k, o *kindState) int {
+		x, y := k.shareUsage(total), o.shareUsage(total)
+		if x < 1 || y < 1 {
+			return cmp.Compare(x, y)
+		}
+		return cmp.Compare(k.Importance, o.Importance)
+	})
+	return kinds
 }
 
 // shareUsage returns the used fraction of a kind's share, with the share rounded to
--- a/internal/app/daemon/settings.go
+++ b/internal/app/daemon/settings.go
@@ -159,8 +159,8 @@
 	for _, text := range s.peers {
 		id, address, ok := strings.Cut(text, "=")
 		n, err := strconv.ParseUint(id, 10, 32)
-		if !ok || err != nil {
-			v.addError("peer", errors.Newf("%q is not ID=IP:port", text))
+		if !ok || err != nil || n == 0 {
+			v.addError("peer", errors.Newf("%q is not ID=IP:port with an ID above 0", text))
 			continue
 		}
 		peers = append(peers, runner.Peer{ID: cactuspin.HostID(n), Address: v.parseAddress("peer", address).String()})
--- a/internal/configuration/bundleparser/bundleparser_test.go
+++ b/internal/configuration/bundleparser/bundleparser_test.go
@@ -1,8 +1,10 @@
 package bundleparser_test
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -46,3 +48,14 @@
 	f.Add([]byte("services: &a [*a]\n"))
 	f.Fuzz(func(_ *testing.T, b []byte) { _, _ = bundleparser.Parse(b) })
 }
+
+func TestEachFurtherUseOfAnAddressNamesItsFirstOwner(t *testing.T) {
+	g := NewWithT(t)
+	const service = "  - {name: %s, address: \"127.10.1.1:5683\"}\n"
+	text := "format: 1\nservices:\n"
+	for _, name := range []string{"one", "two", "three"} {
+		text += fmt.Sprintf(service, name)
+	}
+	_, err := bundleparser.Parse([]byte(text))
+	g.Expect(strings.Count(err.Error(), "127.10.1.1:5683 is used by one too")).To(Equal(2), err.Error())
+}
--- a/internal/configuration/bundleparser/checker.go
+++ b/internal/configuration/bundleparser/checker.go
@@ -96,7 +96,9 @@
 	}
 	other, used := c.addresses[text]
 	c.require(!used, field, "%s is used by %s too", text, other)
-	c.addresses[text] = owner
+	if !used {
+		c.addresses[text] = owner
+	}
 }
 
 func knownMethod(m string) bool {
