Reject messages of peers with negative ages

A beacon or an update with an age below zero confirmed the knowledge for the time to come: the host would have steered by it without reading the store. Test fails before.

--- a/internal/knowledge/encoder/encoder.go
+++ b/internal/knowledge/encoder/encoder.go
@@ -147,12 +147,31 @@
 	if d.Update != nil {
 		return d, checkUpdate(d.Update)
 	}
-	return d, checkHost(d.Beacon.Host)
+	return d, checkBeacon(d.Beacon)
+}
+
+// checkBeacon and checkUpdate report what the receiver cannot use. Other processes can
+// reach the ports between hosts, too, so that a message may come from one of them.
+func checkBeacon(b *Beacon) error {
+	if err := checkAges(b.Age, b.HealthyFor); err != nil {
+		return err
+	}
+	return checkHost(b.Host)
+}
+
+// checkAges rejects negative times: knowledge with a negative age would count as
+// fresh for as long.
+func checkAges(age, healthyFor time.Duration) error {
+	if age < 0 || healthyFor < 0 {
+		return errors.Newf("age %s or healthy time %s is negative", age, healthyFor)
+	}
+	return nil
 }
 
-// checkUpdate reports addresses that the receiver cannot use. Other processes can
-// reach the ports between hosts, too, so that an update may come from one of them.
 func checkUpdate(u *cactuspin.Update) error {
+	if err := checkAges(u.Age, u.HealthyFor); err != nil {
+		return err
+	}
 	for i := range u.Targets {
 		if !u.Targets[i].Address.Addr().Is4() {
 			return errors.Newf("target %q without an IPv4 address", u.Targets[i].ID)
--- a/internal/knowledge/encoder/encoder_test.go
+++ b/internal/knowledge/encoder/encoder_test.go
@@ -71,6 +71,27 @@
 	}
 }
 
+// Knowledge from the future would never get old, so that its host would steer by it
+// for ever.
+func TestNegativeAgesAreRejected(t *testing.T) {
+	g := NewWithT(t)
+	for _, change := range []func(b *encoder.Beacon){
+		func(b *encoder.Beacon) { b.Age = -time.Hour },
+		func(b *encoder.Beacon) { b.HealthyFor = -time.Hour },
+	} {
+		d := sample()
+		change(d.Beacon)
+		b, err := encoder.Encode(&d)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = encoder.Decode(b)
+		g.Expect(err).To(MatchError(ContainSubstring("negative")))
+	}
+	b, err := encoder.EncodeUpdate(&cactuspin.Update{Age: -1})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = encoder.DecodeUpdate(b)
+	g.Expect(err).To(MatchError(ContainSubstring("negative")))
+}
+
 // The flow table and the prober take the four bytes of an address, which panics for
 // any other kind of address.
 func TestUpdatesWithoutIPv4AddressesAreRejected(t *testing.T) {
