--- a/internal/app/operator/trace_command.go
+++ b/internal/app/operator/trace_command.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
@@ -17,23 +18,43 @@
 
 // traceCommand shows what happened to a request of the packet path.
 type traceCommand struct {
-	id    string
-	input io.Reader
+	id       string
+	files    []string
+	from, to string
+	input    io.Reader
 }
 
 func (k *traceCommand) register(a *kingpin.Application) *kingpin.CmdClause {
-	c := a.Command("trace", "Show what happened to a request, from the hosts' logs on standard input.")
+	c := a.Command("trace", "Show what happened to a request, from the hosts' logs.")
 	c.Arg("request", "ID of the request.").Required().StringVar(&k.id)
+	c.Arg("file", "Log of one or more hosts; without files, the logs are read from standard input.").ExistingFilesVar(&k.files)
+	c.Flag("from", "Earliest time of the request, such as 2026-05-23T19:01:35Z.").StringVar(&k.from)
+	c.Flag("to", "Latest time of the request.").StringVar(&k.to)
 	k.input = os.Stdin
 	return c
 }
 
-func (k *traceCommand) run(_ context.Context, c console) error {
-	lines, err := tracer.Read(k.input)
-	if err != nil {
+func (k *traceCommand) run(_ context.Context, c console) (err error) {
+	config := tracer.Config{Request: k.id}
+	if config.From, err = parseTime("from", k.from); err != nil {
+		return err
+	}
+	if config.To, err = parseTime("to", k.to); err != nil {
 		return err
 	}
-	r, err := tracer.Trace(lines, k.id)
+	files := k.files
+	if len(files) == 0 {
+		name, spoolErr := spool(k.input)
+		if spoolErr != nil {
+			return spoolErr
+		}
+		defer func() { err = errors.CombineErrors(err, os.Remove(name)) }()
+		files = []string{name}
+	}
+	for _, name := range files {
+		config.Inputs = append(config.Inputs, func() (io.ReadCloser, error) { return os.Open(name) })
+	}
+	r, err := tracer.Trace(config)
 	if err != nil {
 		return err
 	}
@@ -55,6 +76,27 @@
 	return nil
 }
 
+// parseTime parses the time of a flag; an empty text is no limit.
+func parseTime(flag, text string) (t time.Time, err error) {
+	if text == "" {
+		return t, nil
+	}
+	t, err = time.Parse(time.RFC3339Nano, text)
+	return t, errors.Wrapf(err, "--%s", flag)
+}
+
+// spool copies the input to a temporary file, since logs are read twice, and returns
+// its name.
+func spool(input io.Reader) (name string, err error) {
+	defer func() { err = errors.Wrap(err, "copy standard input") }()
+	f, err := os.CreateTemp("", "cactuspin-trace-*.log")
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	_, err = io.Copy(f, input)
+	return f.Name(), errors.CombineErrors(err, f.Close())
+}
+
 // entryCommand shows the status of a host of the packet path, or where it would
 // forward a flow.
 type entryCommand struct {
--- a/internal/diagnosis/tracer/tracer.go
+++ b/internal/diagnosis/tracer/tracer.go
@@ -42,21 +42,6 @@
 // errNotFound is returned if no line names the request.
 var errNotFound = errors.New("no line names this request; it may have been left out (see \"flow: lines left out\"), or have reached no host")
 
-// Read parses the log lines of hosts and sorts them by time. Text before "time=",
-// such as the name of a host, is kept in Line.Text. Other lines are skipped.
-func Read(r io.Reader) (lines []Line, err error) {
-	defer func() { err = errors.Wrap(err, "read log") }()
-	s := bufio.NewScanner(r)
-	s.Buffer(nil, maxLineLength)
-	for s.Scan() {
-		if l, ok := parse(s.Text()); ok {
-			lines = append(lines, l)
-		}
-	}
-	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Time.Before(lines[j].Time) })
-	return lines, errors.WithStack(s.Err())
-}
-
 // parse parses a line in the text format of slog.
 func parse(text string) (l Line, ok bool) {
 	i := strings.Index(text, "time=")
@@ -95,56 +80,164 @@
 	return s[1:], ""
 }
 
-// Trace returns what the lines show about the request with the ID.
-func Trace(lines []Line, id string) (r Report, err error) {
-	defer func() { err = errors.Wrapf(err, "trace %s", id) }()
-	type flow struct{ caller, service string }
-	flows, targets := map[flow]bool{}, map[string]bool{}
-	var first, last time.Time
-	for _, l := range lines {
-		if l.Fields["request"] != id {
-			continue
-		}
-		if first.IsZero() {
-			first = l.Time
-		}
-		last = l.Time
-		flows[flow{l.Fields["caller"], l.Fields["service"]}] = true
-	}
-	if len(flows) == 0 {
-		return r, errNotFound
+// Config says what to trace.
+type Config struct {
+	// Request is the ID of the request.
+	Request string
+	// From and To limit the time of the request; a zero value is no limit. Lines
+	// shortly before and after belong to its report all the same.
+	From, To time.Time
+	// Inputs are the logs of the hosts. Text before "time=" in a line, such as the name
+	// of a host, is kept in Line.Text; lines in another format are skipped.
+	Inputs []Input
+}
+
+// Input opens a log. It is called twice, so that logs of any length take little
+// memory: once to find the request, once to collect what belongs to it.
+type Input func() (io.ReadCloser, error)
+
+// flow is a flow of the request.
+type flow struct{ caller, service string }
+
+// search is what is known about the request after the first pass.
+type search struct {
+	flows       map[flow]bool
+	first, last time.Time
+}
+
+// Trace returns what the logs show about a request.
+func Trace(c Config) (r Report, err error) {
+	defer func() { err = errors.Wrapf(err, "trace %s", c.Request) }()
+	s, err := find(&c)
+	if err != nil {
+		return r, err
 	}
-	for _, l := range lines {
-		if flows[flow{l.Fields["caller"], l.Fields["service"]}] && within(l.Time, first, last) {
+	var changes []Line
+	targets := map[string]bool{}
+	err = scan(c.Inputs, func(text string) {
+		if !s.mayBelong(text) {
+			return
+		}
+		l, ok := parse(text)
+		switch {
+		case !ok || !within(l.Time, s.first, s.last):
+		case s.flows[flow{l.Fields["caller"], l.Fields["service"]}]:
 			r.Flow = append(r.Flow, l)
 			if t := l.Fields["target"]; t != "" {
 				targets[t] = true
 			}
+		case changeMessages[l.Message]:
+			changes = append(changes, l)
 		}
+	})
+	if err != nil {
+		return r, err
 	}
-	for _, l := range lines {
-		if within(l.Time, first, last) && isStateChange(&l, targets) {
-			r.StateChanges = append(r.StateChanges, l)
+	for i := range changes {
+		if isStateChange(&changes[i], targets) {
+			r.StateChanges = append(r.StateChanges, changes[i])
 		}
 	}
+	sortByTime(r.Flow)
+	sortByTime(r.StateChanges)
 	r.Conclusions = summarize(&r)
 	return r, nil
 }
 
+// find returns the flows and the time of the request.
+func find(c *Config) (s *search, err error) {
+	s = &search{flows: map[flow]bool{}}
+	err = scan(c.Inputs, func(text string) {
+		if !strings.Contains(text, c.Request) {
+			return
+		}
+		l, ok := parse(text)
+		if !ok || l.Fields["request"] != c.Request || !c.inRange(l.Time) {
+			return
+		}
+		if s.first.IsZero() || l.Time.Before(s.first) {
+			s.first = l.Time
+		}
+		if l.Time.After(s.last) {
+			s.last = l.Time
+		}
+		s.flows[flow{l.Fields["caller"], l.Fields["service"]}] = true
+	})
+	if err == nil && len(s.flows) == 0 {
+		err = errNotFound
+	}
+	return s, err
+}
+
+func (c *Config) inRange(t time.Time) bool {
+	return (c.From.IsZero() || !t.Before(c.From)) && (c.To.IsZero() || !t.After(c.To))
+}
+
+// mayBelong reports whether a line may belong to the report. It is cheaper than
+// parsing the line.
+func (s *search) mayBelong(text string) bool {
+	for f := range s.flows {
+		if strings.Contains(text, f.caller) {
+			return true
+		}
+	}
+	for m := range changeMessages {
+		if strings.Contains(text, m) {
+			return true
+		}
+	}
+	return false
+}
+
+// scan calls handle with each line of the inputs.
+func scan(inputs []Input, handle func(text string)) (err error) {
+	for _, open := range inputs {
+		if err := scanInput(open, handle); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func scanInput(open Input, handle func(text string)) (err error) {
+	defer func() { err = errors.Wrap(err, "read log") }()
+	r, err := open()
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.CombineErrors(err, r.Close()) }()
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLineLength)
+	for s.Scan() {
+		handle(s.Text())
+	}
+	return errors.WithStack(s.Err())
+}
+
+func sortByTime(lines []Line) {
+	sort.SliceStable(lines, func(i, j int) bool { return lines[i].Time.Before(lines[j].Time) })
+}
+
 func within(t, first, last time.Time) bool {
 	return t.After(first.Add(-contextWindow)) && t.Before(last.Add(contextWindow))
 }
 
-// isStateChange reports whether a line records a change of one of the targets, of
-// the routing, of the store or of a host.
+// changeMessages are the messages of lines that record a change of a target, of the
+// routing, of the store or of a host.
+var changeMessages = map[string]bool{
+	"knowledge: target registered": true, "knowledge: target gone": true, "target: condition changed": true,
+	"knowledge: routing in force": true, "store: lost": true, "store: regained": true,
+	"host: woke up": true, "host: started": true, "host: stopping": true,
+}
+
+// isStateChange reports whether a line with such a message matters to a request: one
+// about a target only if the request was there.
 func isStateChange(l *Line, targets map[string]bool) bool {
 	switch l.Message {
 	case "knowledge: target registered", "knowledge: target gone", "target: condition changed":
 		return targets[l.Fields["target"]]
-	case "knowledge: routing in force", "store: lost", "store: regained", "host: woke up", "host: started", "host: stopping":
-		return true
 	default:
-		return false
+		return true
 	}
 }
 
