--- /dev/null
+++ b/entrystatus.go
@@ -0,0 +1,25 @@
+package cactuspin
+
+// EntryStatus is what a host of the packet path reports to operators at
+// EntryStatusPath. Durations are in seconds.
+type EntryStatus struct {
+	Host         string   `json:"host"`
+	Zone         string   `json:"zone"`
+	Build        string   `json:"build"`
+	Version      uint64   `json:"routing_version"`
+	Revision     uint64   `json:"revision"`
+	KnowledgeAge float64  `json:"knowledge_age_s"`
+	Targets      int      `json:"targets"`
+	TargetsDown  []string `json:"targets_down,omitempty"`
+	Flows        int      `json:"flows"`
+	Peers        int      `json:"peers"`
+	// ReadsStore reports that the host reads the store now, Reader which host's read
+	// the age of its knowledge is based on.
+	ReadsStore      bool              `json:"reads_store"`
+	Reader          string            `json:"reader,omitempty"`
+	Leaving         bool              `json:"leaving"`
+	Ready           bool              `json:"ready"`
+	PacketsByReason map[string]uint64 `json:"packets_by_reason"`
+	LinesSuppressed uint64            `json:"log_lines_left_out"`
+	LinesDropped    uint64            `json:"log_lines_dropped"`
+}
--- a/internal/app/entry/admin.go
+++ b/internal/app/entry/admin.go
@@ -9,27 +9,6 @@
 	"github.com/cactuspin/cactuspin"
 )
 
-// hostStatus is the status that a host reports to operators. Durations are in
-// seconds.
-type hostStatus struct {
-	Host            string            `json:"host"`
-	Zone            string            `json:"zone"`
-	Build           string            `json:"build"`
-	Version         uint64            `json:"routing_version"`
-	Revision        uint64            `json:"revision"`
-	KnowledgeAge    float64           `json:"knowledge_age_s"`
-	Targets         int               `json:"targets"`
-	TargetsDown     []string          `json:"targets_down,omitempty"`
-	Flows           int               `json:"flows"`
-	Peers           int               `json:"peers"`
-	ReadsStore      bool              `json:"reads_store"`
-	Leaving         bool              `json:"leaving"`
-	Ready           bool              `json:"ready"`
-	PacketsByReason map[string]uint64 `json:"packets_by_reason"`
-	LinesSuppressed uint64            `json:"log_lines_left_out"`
-	LinesDropped    uint64            `json:"log_lines_dropped"`
-}
-
 // newAdminHandler returns the handler of requests for the status and for
 // explanations of flows. Both are read-only.
 func newAdminHandler(h *host) http.Handler {
@@ -47,15 +26,18 @@
 	return m
 }
 
-func (h *host) statusReport() hostStatus {
+func (h *host) statusReport() cactuspin.EntryStatus {
 	s := h.status()
-	report := hostStatus{
+	report := cactuspin.EntryStatus{
 		Host: h.settings.Load().Name, Zone: string(h.settings.Load().Zone), Build: Build,
 		Version: uint64(s.RoutingVersion), Revision: uint64(s.Revision), KnowledgeAge: s.Age.Seconds(),
 		Targets: s.Targets, Flows: s.Flows, Peers: s.Peers, ReadsStore: s.Reading, Leaving: s.Leaving,
 		Ready: h.engine.Ready(h.common.Clock()), PacketsByReason: map[string]uint64{},
 		LinesSuppressed: h.reporter.Suppressed(), LinesDropped: h.writer.Dropped(),
 	}
+	if s.Reader.IsValid() {
+		report.Reader = s.Reader.String()
+	}
 	for _, id := range s.Down {
 		report.TargetsDown = append(report.TargetsDown, string(id))
 	}
--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -120,9 +120,10 @@
 
 	text, err := get(address + ":8166" + cactuspin.EntryStatusPath)
 	g.Expect(err).NotTo(HaveOccurred())
-	var status hostStatus
+	var status cactuspin.EntryStatus
 	g.Expect(json.Unmarshal([]byte(strings.TrimPrefix(text, "200 OK ")), &status)).To(Succeed())
 	g.Expect(status.Version).To(Equal(uint64(7)))
+	g.Expect(status.Reader).To(Equal(address))
 	g.Expect(status.PacketsByReason).To(HaveKeyWithValue("placed", uint64(1)))
 	g.Expect(get(address + ":8166" + cactuspin.EntryExplainPath + "?caller=127.77.0.7:40001&service=198.18.0.1:443")).To(ContainSubstring("i-0000000a"))
 	g.Expect(get(address + ":8166" + cactuspin.EntryExplainPath + "?caller=x")).To(HavePrefix("400"))
--- a/internal/app/operator/trace_command.go
+++ b/internal/app/operator/trace_command.go
@@ -4,15 +4,12 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
-	"net/url"
 	"os"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
 
-	"github.com/cactuspin/cactuspin"
 	"github.com/cactuspin/cactuspin/internal/diagnosis/tracer"
 )
 
@@ -96,46 +93,3 @@
 	_, err = io.Copy(f, input)
 	return f.Name(), errors.CombineErrors(err, f.Close())
 }
-
-// entryCommand shows the status of a host of the packet path, or where it would
-// forward a flow.
-type entryCommand struct {
-	host            string
-	caller, service string
-}
-
-func (k *entryCommand) register(a *kingpin.Application) *kingpin.CmdClause {
-	c := a.Command("entry", "Show the status of a host of the packet path, or where it would forward a flow.")
-	c.Arg("host", "IP:port of the host's admin address.").Required().StringVar(&k.host)
-	c.Flag("caller", "IP:port of the caller of a flow.").StringVar(&k.caller)
-	c.Flag("service", "IP:port of the service.").StringVar(&k.service)
-	return c
-}
-
-func (k *entryCommand) run(ctx context.Context, c console) (err error) {
-	defer func() { err = errors.Wrap(err, "ask host") }()
-	u := url.URL{Scheme: "http", Host: k.host, Path: cactuspin.EntryStatusPath}
-	if (k.caller == "") != (k.service == "") {
-		return errors.New("--caller and --service go together")
-	}
-	if k.caller != "" {
-		u.Path = cactuspin.EntryExplainPath
-		u.RawQuery = url.Values{"caller": {k.caller}, "service": {k.service}}.Encode()
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	resp, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return errors.WithStack(err)
-	}
-	defer func() { err = errors.CombineErrors(err, resp.Body.Close()) }()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Newf("host answered %s", resp.Status)
-	}
-	_, err = io.Copy(c.out, resp.Body)
-	return errors.WithStack(err)
-}
