Do not take the first part of a long answer for a refusal

Cause: a refusal was told by the size of what the first acknowledgement covers. Of a download of 40 or 80 kB that is 2.4 kB, less than a third of the mean, so each answered download counted as slow; all targets looked six times slower than one without requests, and a new target got 18 of 18 flows of a host. Found while reading the change.

A short first part is now held until the answer ends: a refusal if it is short then, a response time otherwise.

--- a/internal/steering/balancer/failure.go
+++ b/internal/steering/balancer/failure.go
@@ -89,7 +89,7 @@
 
 // recordAnswer records the end of the answer to the last request, which the caller
 // has acknowledged up to the given sequence number.
-func (f *flow) recordAnswer(acknowledged uint32) {
+func (f *flow) recordAnswer(now cactuspin.Time, acknowledged uint32) {
 	if !f.answerPending {
 		return
 	}
@@ -98,9 +98,20 @@
 	if bytes == 0 && !f.reachedTarget() {
 		return
 	}
-	if f.route.answers.record(bytes) {
+	short := f.route.answers.record(bytes)
+	if short {
 		f.target.newFailures.Add(1)
 	}
+	if f.firstPartAfter == 0 {
+		return
+	}
+	if short {
+		// A target that refuses requests because it is full does so at once; this must
+		// not make it look fast.
+		f.target.slowness.record(now, maxSlowness)
+		return
+	}
+	f.recordSlowness(now, f.firstPartAfter)
 }
 
 // reachedTarget reports whether the last request seems to have reached its target:
--- a/internal/steering/balancer/flow.go
+++ b/internal/steering/balancer/flow.go
@@ -50,7 +50,10 @@
 	// complete, answerStart is the acknowledgement number at the request.
 	answerPending bool
 	answerStart   uint32
-	route         *route
+	// firstPartAfter is the time from the request to a first part of the answer that
+	// is short, or 0.
+	firstPartAfter time.Duration
+	route          *route
 }
 
 // flowTable holds the flows whose packets this host has seen, in shards.
@@ -203,20 +206,24 @@
 	}
 	f.observeData(now, p, v)
 	if p.Flags&(cactuspin.FlagRST|cactuspin.FlagFIN) != 0 {
-		f.recordAnswer(p.Acknowledgement)
+		f.recordAnswer(now, p.Acknowledgement)
 		f.unassign()
 	}
 	return answered
 }
 
 // recordResponseTime records the time from a request to the first part of its answer.
-// A target that refuses requests because it is full does so at once; this must not
-// make it look fast.
+// If the part is short, this is a refusal or the beginning of a long answer, which
+// shows when the answer ends.
 func (f *flow) recordResponseTime(now cactuspin.Time, d time.Duration, acknowledged uint32) {
 	if f.answerPending && f.route.answers.isShort(acknowledged-f.answerStart) {
-		f.target.slowness.record(now, maxSlowness)
+		f.firstPartAfter = d
 		return
 	}
+	f.recordSlowness(now, d)
+}
+
+func (f *flow) recordSlowness(now cactuspin.Time, d time.Duration) {
 	if ratio := f.route.responseTimes.record(d); ratio > 0 {
 		f.target.slowness.record(now, ratio)
 	}
@@ -234,8 +241,8 @@
 	f.nextSequence, f.lastDataAt = end, now
 	if f.requestedAt == 0 {
 		v.Request = true
-		f.recordAnswer(p.Acknowledgement)
-		f.answerPending, f.answerStart = true, p.Acknowledgement
+		f.recordAnswer(now, p.Acknowledgement)
+		f.answerPending, f.answerStart, f.firstPartAfter = true, p.Acknowledgement, 0
 		f.requestedAt, f.retransmissions = now, 0
 		f.target.busy.Add(1)
 	}
