--- a/review/standin/packet.go
+++ b/review/standin/packet.go
@@ -27,12 +27,11 @@
 
 // packet is a packet of the platform.
 type packet struct {
-	src, dst       netip.AddrPort
-	sum, echo      uint32
-	flags          byte
-	seq, ack       uint32
-	data           []byte
-	receivedFromIP netip.Addr
+	src, dst  netip.AddrPort
+	sum, echo uint32
+	flags     byte
+	seq, ack  uint32
+	data      []byte
 }
 
 func (p *packet) encode() []byte {
