--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -42,6 +42,7 @@
 	entryHostsOctet  = 10
 	endpointsOctet   = 100
 	requestersOctet  = 200
+	routesOctet      = 250
 	firstPortOfRange = 21000
 	portRange        = 8000
 )
@@ -113,10 +114,10 @@
 		return nil, errors.New("no free addresses")
 	}
 	d.kinds = []*requestKind{
-		{name: "feed", route: netip.MustParseAddrPort("198.18.0.1:8443"), kind: "idempotent", users: 5, longFlows: true, size: 4000, budget: 1500 * time.Millisecond, pause: 600 * time.Millisecond},
-		{name: "entry", route: netip.MustParseAddrPort("198.18.0.1:9443"), kind: "non_idempotent", users: 2, longFlows: true, size: 600, budget: 2 * time.Second, pause: 600 * time.Millisecond},
-		{name: "order", route: netip.MustParseAddrPort("198.18.0.1:8080"), kind: "non_idempotent", users: 2, size: 600, budget: 2 * time.Second, pause: 300 * time.Millisecond},
-		{name: "pack", route: netip.MustParseAddrPort("198.18.0.2:8443"), kind: "download", users: 1, size: 20000, budget: 3 * time.Second, pause: 400 * time.Millisecond},
+		{name: "feed", route: netip.AddrPortFrom(d.address(routesOctet, 1), 8443), kind: "idempotent", users: 5, longFlows: true, size: 4000, budget: 1500 * time.Millisecond, pause: 600 * time.Millisecond},
+		{name: "entry", route: netip.AddrPortFrom(d.address(routesOctet, 1), 9443), kind: "non_idempotent", users: 2, longFlows: true, size: 600, budget: 2 * time.Second, pause: 600 * time.Millisecond},
+		{name: "order", route: netip.AddrPortFrom(d.address(routesOctet, 1), 8080), kind: "non_idempotent", users: 2, size: 600, budget: 2 * time.Second, pause: 300 * time.Millisecond},
+		{name: "pack", route: netip.AddrPortFrom(d.address(routesOctet, 2), 8443), kind: "download", users: 1, size: 20000, budget: 3 * time.Second, pause: 400 * time.Millisecond},
 	}
 	return d, nil
 }
--- a/review/standin/endpoint.go
+++ b/review/standin/endpoint.go
@@ -35,6 +35,8 @@
 	mu    sync.Mutex
 	seqNo int
 	flows map[flowID]*endpointFlow
+	// registered reports that the store holds the endpoint's own entry.
+	registered bool
 }
 
 // flowID is the four-tuple of a flow.
@@ -108,17 +110,23 @@
 	}
 }
 
+// writeRegistration writes the entry. The entry changes only if more than seq_no changes.
 func (e *endpoint) writeRegistration() {
 	e.mu.Lock()
 	e.seqNo++
+	written := e.registered
+	e.registered = true
 	entry := map[string]any{
 		"service": e.service, "address": e.address.String(), "zone": e.zone, "version": "v1", "slots": 3,
 		"state": "ready", "warmup_left_ms": 0, "seq_no": e.seqNo, "born": e.born,
 	}
 	e.mu.Unlock()
-	if b, err := json.Marshal(entry); err == nil {
-		e.store.Put("servers/"+e.id, b)
+	b, err := json.Marshal(entry)
+	if written || err != nil {
+		return
 	}
+	e.store.Put("servers/"+e.id, b)
+	e.d.rec.add("endpoint %s: registered", e.id)
 }
 
 func (e *endpoint) send(p packet) {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,7 +23,7 @@
 type scenario struct {
 	// play plays the case on a running deployment and reports whether its rule was
 	// broken.
-	play func(d *deployment, trouble bool) (broken bool)
+	play func(d *deployment, trouble bool) (broken bool, err error)
 	// flowLifetime is the age at which requesters replace a long flow.
 	flowLifetime time.Duration
 }
@@ -71,7 +71,11 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	broken := x.play(d, trouble)
+	broken, err := x.play(d, trouble)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
 	fmt.Printf("case %s, disruption %t: %s\n", *name, trouble, d.summary())
 	if broken {
 		fmt.Println("the rule was BROKEN")
