--- a/internal/entry/engine/actions.go
+++ b/internal/entry/engine/actions.go
@@ -87,6 +87,7 @@
 			slog.String("target", string(t.ID)),
 			slog.String("service", string(t.Service)), slog.String("address", t.Address.String()), slog.String("zone", string(t.Zone)),
 			slog.String("state", t.State.String()), slog.Uint64("revision", uint64(t.Revision)), slog.Duration("warmup", t.Warmup),
+			slog.Uint64("cookie", uint64(balancer.CookieOf(t.ID))),
 		}, common...)...)
 	}
 	for _, removal := range c.Removed {
--- a/internal/entry/engine/engine_test.go
+++ b/internal/entry/engine/engine_test.go
@@ -11,6 +11,7 @@
 	"github.com/cactuspin/cactuspin"
 	"github.com/cactuspin/cactuspin/internal/entry/engine"
 	"github.com/cactuspin/cactuspin/internal/knowledge/encoder"
+	"github.com/cactuspin/cactuspin/internal/steering/balancer"
 )
 
 const (
@@ -183,3 +184,21 @@
 	}
 	g.Expect(hold).To(Equal(2500 * time.Millisecond))
 }
+
+// Flows are logged with their cookie only, so the registration has to name it, too.
+func TestRegistrationsAreLoggedWithTheirCookie(t *testing.T) {
+	g := NewWithT(t)
+	e, call := loaded(g)
+	target := cactuspin.RegisteredTarget{ID: "i-1", Service: "s", Slots: 1, Revision: 11, Address: netip.MustParseAddrPort("10.9.0.1:80")}
+	var out engine.Actions
+	e.StoreAnswered(now, call, &cactuspin.Update{After: 10, Revision: 11, Targets: []cactuspin.RegisteredTarget{target}}, nil, &out)
+	var cookie uint64
+	for _, n := range out.Notes {
+		for _, a := range n.Attributes {
+			if n.Message == "knowledge: target registered" && a.Key == "cookie" {
+				cookie = a.Value.Uint64()
+			}
+		}
+	}
+	g.Expect(cookie).To(Equal(uint64(balancer.CookieOf("i-1"))))
+}
--- a/internal/steering/balancer/target.go
+++ b/internal/steering/balancer/target.go
@@ -47,14 +47,14 @@
 }
 
 func newTarget(now cactuspin.Time, r *cactuspin.RegisteredTarget, v *service) *target {
-	t := &target{service: v, zone: v.zone(r.Zone), cookie: cookieOf(r.ID)}
+	t := &target{service: v, zone: v.zone(r.Zone), cookie: CookieOf(r.ID)}
 	t.update(now, r)
 	return t
 }
 
-// cookieOf derives the cookie of a target from its ID, so that it is the same at
+// CookieOf derives the cookie of a target from its ID, so that it is the same at
 // every host.
-func cookieOf(id cactuspin.TargetID) cactuspin.Cookie {
+func CookieOf(id cactuspin.TargetID) cactuspin.Cookie {
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(id))
 	return max(1, cactuspin.Cookie(h.Sum32()))
