--- a/internal/standin/simulator/faults.go
+++ b/internal/standin/simulator/faults.go
@@ -1,6 +1,7 @@
 package simulator
 
 import (
+	"cmp"
 	"fmt"
 	"net/netip"
 	"time"
@@ -36,7 +37,7 @@
 			s.addCaller(zone, byte(z), i)
 		}
 	}
-	s.after(500*time.Millisecond, func() { s.putConfiguration(nil) })
+	s.after(500*time.Millisecond, func() { s.putConfiguration(configurationChange{}) })
 	for _, h := range s.hosts {
 		s.after(time.Duration(s.random.Int64N(int64(300*time.Millisecond))), h.start)
 	}
@@ -81,13 +82,20 @@
 	s.callers = append(s.callers, c)
 }
 
-// putConfiguration writes the next configuration to the store, without the omitted
-// route if one is given.
-func (s *Simulation) putConfiguration(omitted *netip.AddrPort) {
+// configurationChange is what a configuration changes in the routes of the first one.
+type configurationChange struct {
+	// omitted is the address of a route that is left out.
+	omitted netip.AddrPort
+	// diagrams is the service to which the diagram route leads instead of its own.
+	diagrams cactuspin.ServiceName
+}
+
+// putConfiguration writes the next configuration to the store.
+func (s *Simulation) putConfiguration(c configurationChange) {
 	version := cactuspin.RoutingVersion(3 + 4*len(s.oracle.configurations))
 	r := &cactuspin.Routing{Version: version, IdleTimeout: idleTimeout}
 	add := func(name string, a netip.AddrPort, service cactuspin.ServiceName, kind cactuspin.WorkKind, priority int) {
-		if omitted == nil || *omitted != a {
+		if c.omitted != a {
 			r.Routes = append(r.Routes, cactuspin.Route{
 				Name: cactuspin.RouteName(name), Address: a, Kind: kind, Timeout: deadline, Priority: priority,
 				Services: []cactuspin.WeightedService{{Service: service, Weight: 1}},
@@ -96,7 +104,7 @@
 	}
 	add("feed", feedRoute, serviceOrders, cactuspin.WorkIdempotent, 2)
 	add("order", orderRoute, serviceOrders, cactuspin.WorkNonIdempotent, 1)
-	add("diagram", diagramRoute, serviceDiagrams, cactuspin.WorkDownload, 2)
+	add("diagram", diagramRoute, cmp.Or(c.diagrams, serviceDiagrams), cactuspin.WorkDownload, 2)
 	if len(s.oracle.configurations) > 0 {
 		add("spare", spareRoute, serviceOrders, cactuspin.WorkIdempotent, 2)
 	}
@@ -118,8 +126,9 @@
 // faultHandlers returns the functions that inject faults, by kind.
 func (s *Simulation) faultHandlers() map[string]func(*Fault) {
 	return map[string]func(*Fault){
-		"config_change":    func(*Fault) { s.putConfiguration(nil) },
-		"config_drop":      func(*Fault) { s.putConfiguration(&diagramRoute) },
+		"config_change":    func(*Fault) { s.putConfiguration(configurationChange{}) },
+		"config_drop":      func(*Fault) { s.putConfiguration(configurationChange{omitted: diagramRoute}) },
+		"config_move":      func(*Fault) { s.putConfiguration(configurationChange{diagrams: serviceOrders}) },
 		"host_kill":        func(f *Fault) { s.eachHost(f, func(h *host) { h.kill(f.For.Duration) }) },
 		"host_freeze":      func(f *Fault) { s.eachHost(f, func(h *host) { h.freeze(f.For.Duration) }) },
 		"host_stop":        func(f *Fault) { s.eachHost(f, func(h *host) { h.stop() }) },
--- a/internal/steering/balancer/balancer.go
+++ b/internal/steering/balancer/balancer.go
@@ -48,6 +48,7 @@
 	services  map[cactuspin.ServiceName]*service
 	targets   map[cactuspin.TargetID]*target
 	byAddress addressIndex
+	byCookie  cookieIndex
 	removed   []*target
 	active    activeSet
 	flows     flowTable
@@ -87,6 +88,7 @@
 		services:  map[cactuspin.ServiceName]*service{},
 		targets:   map[cactuspin.TargetID]*target{},
 		byAddress: addressIndex{},
+		byCookie:  cookieIndex{},
 	}
 	b.flows.init(c.MaxFlows, c.Seed)
 	b.Reconfigure(c.StaleAfter)
@@ -151,14 +153,13 @@
 	}
 	v := b.services[r.Service]
 	if v == nil {
-		v = &service{name: r.Service, byCookie: map[cactuspin.Cookie]*target{}}
+		v = &service{name: r.Service}
 		b.services[r.Service] = v
 	}
 	t = newTarget(now, r, v)
-	if old := v.byCookie[t.cookie]; old != nil {
-		old.remove()
+	if old := b.byCookie.add(t); old != nil {
+		old.zone.remove(old)
 	}
-	v.byCookie[t.cookie] = t
 	t.zone.targets = append(t.zone.targets, t)
 	b.byAddress.add(t)
 	b.targets[r.ID] = t
@@ -182,7 +183,8 @@
 		t := b.removed[0]
 		b.removed = b.removed[1:]
 		b.byAddress.remove(t, t.registered.Address)
-		t.remove()
+		b.byCookie.remove(t)
+		t.zone.remove(t)
 	}
 	return unanswered
 }
@@ -236,7 +238,7 @@
 	defer b.mu.RUnlock()
 	t := h.establishedTarget(p)
 	if t == nil || t.ended(now) {
-		t = b.findByCookie(route, p.Cookie)
+		t = b.byCookie.find(now, route, p.Cookie)
 	}
 	if t == nil {
 		if now.Sub(cactuspin.Time(b.healthySince.Load())) < reregistrationTime {
@@ -266,21 +268,6 @@
 	return v
 }
 
-// findByCookie returns the target with cookie c among the services of a route.
-func (b *Balancer) findByCookie(route *route, c cactuspin.Cookie) *target {
-	if c == 0 {
-		return nil
-	}
-	for i := range route.Services {
-		if v := b.services[route.Services[i].Service]; v != nil {
-			if t := v.byCookie[c]; t != nil {
-				return t
-			}
-		}
-	}
-	return nil
-}
-
 // steerSYN places the first packet of a flow or a retransmission of it.
 func (b *Balancer) steerSYN(now cactuspin.Time, p *cactuspin.Packet, h *flowShard, route *route, v cactuspin.Verdict) cactuspin.Verdict {
 	b.mu.RLock()
--- a/internal/steering/balancer/balancer_test.go
+++ b/internal/steering/balancer/balancer_test.go
@@ -82,6 +82,44 @@
 	}
 }
 
+// moveFeeds returns a change by which new feeds go to another service, which has one
+// target. Orders go where they went.
+func moveFeeds(service string) *tracker.Change {
+	r := routing()
+	r.Version++
+	r.Routes[0].Services = []cactuspin.WeightedService{{Service: cactuspin.ServiceName(service), Weight: 1}}
+	return &tracker.Change{Routing: r, Targets: []cactuspin.RegisteredTarget{registered(50, service, "a")}}
+}
+
+// Guards against resets of open flows after their route has moved to another service: a
+// host that did not see them open looked for their targets in the new service only.
+func TestAnyHostFindsTheTargetOfAFlowWhoseRouteHasMoved(t *testing.T) {
+	g := NewWithT(t)
+	placed := newBalancer(1, "a").Steer(now, syn(1, feeds, 0))
+	restarted := newBalancer(99, "a")
+	restarted.Apply(now, moveFeeds("shelf"))
+	followed := restarted.Steer(now, data(1, feeds, placed.Cookie, 0))
+	g.Expect(followed.Kind).To(Equal(cactuspin.VerdictForward))
+	g.Expect(followed.Target).To(Equal(placed.Target))
+	g.Expect(restarted.Steer(now, syn(2, feeds, 0)).Target).To(Equal(cactuspin.TargetID("shelf-50")), "new flows go to the new service")
+}
+
+// Guards against flows that a host follows to a registration which ended, while the same
+// ID is registered in the service to which their route leads.
+func TestACookieOfTwoServicesMeansTheOneOfTheRoute(t *testing.T) {
+	g := NewWithT(t)
+	b := newBalancer(1, "a")
+	cookie := b.Steer(now, syn(1, feeds, 0)).Cookie
+	b.Apply(now, moveFeeds("shelf"))
+	for i := range 2 {
+		again := registered(i+1, "desk", "a")
+		again.Service, again.Revision = "shelf", 60
+		b.Apply(now, &tracker.Change{Targets: []cactuspin.RegisteredTarget{again}})
+	}
+	g.Expect(b.Steer(now, data(2, feeds, cookie, 0)).Kind).To(Equal(cactuspin.VerdictForward), "the route leads to the registered target")
+	g.Expect(b.Steer(now, data(2, orders, cookie, 0)).Reason).To(Equal(cactuspin.ReasonTargetGone), "the route leads to the one that ended")
+}
+
 func TestFlowsStayInTheirZoneUntilItIsCrowded(t *testing.T) {
 	g := NewWithT(t)
 	b := newBalancer(1, "a", "b")
--- a/internal/steering/balancer/report.go
+++ b/internal/steering/balancer/report.go
@@ -34,10 +34,11 @@
 	defer b.mu.RUnlock()
 	reported := map[*zone][]*target{}
 	foundDownAt := map[*target]cactuspin.Time{}
-	for v := range b.active.services() {
-		for _, r := range reports {
-			at := now.Add(-r.Age)
-			if t := v.byCookie[r.Cookie]; t != nil && !t.health.isDown() && !t.health.contradicts(now, at) {
+	active := b.active.services()
+	for _, r := range reports {
+		at := now.Add(-r.Age)
+		for _, t := range b.byCookie[r.Cookie] {
+			if active[t.service] && !t.health.isDown() && !t.health.contradicts(now, at) {
 				reported[t.zone] = append(reported[t.zone], t)
 				foundDownAt[t] = at
 			}
--- a/internal/steering/balancer/service.go
+++ b/internal/steering/balancer/service.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 
 	"github.com/cactuspin/cactuspin"
@@ -27,8 +28,7 @@
 
 // service holds the targets of one service.
 type service struct {
-	name     cactuspin.ServiceName
-	byCookie map[cactuspin.Cookie]*target
+	name cactuspin.ServiceName
 	// zones are sorted by name.
 	zones []*zone
 }
@@ -54,6 +54,13 @@
 	return z
 }
 
+// remove removes a target from the zone.
+func (z *zone) remove(t *target) {
+	if i := slices.Index(z.targets, t); i >= 0 {
+		z.targets = slices.Delete(z.targets, i, i+1)
+	}
+}
+
 // choose returns the target for a new flow of callers in the zone local. Targets
 // that fail much more often than others are used only if there is no other,
 // suspect targets last, and dead ones never.
--- a/internal/steering/balancer/target.go
+++ b/internal/steering/balancer/target.go
@@ -120,17 +120,6 @@
 	}
 }
 
-// remove removes the target from its service.
-func (t *target) remove() {
-	if t.service.byCookie[t.cookie] == t {
-		delete(t.service.byCookie, t.cookie)
-	}
-	z := t.zone
-	if i := slices.Index(z.targets, t); i >= 0 {
-		z.targets = slices.Delete(z.targets, i, i+1)
-	}
-}
-
 // suspect reports whether the target should get no new flows because it may be
 // dead.
 func (t *target) suspect(now cactuspin.Time) bool { return t.health.avoided(now) }
