--- a/internal/standin/simulator/host.go
+++ b/internal/standin/simulator/host.go
@@ -199,6 +199,7 @@
 		}
 		v := h.engine.Steer(h.sim.now, &p)
 		h.sim.oracle.checkVerdict(h, &v)
+		h.sim.oracle.checkPlacement(h, c, &p, &v)
 		switch v.Kind {
 		case cactuspin.VerdictForward:
 			if v.Cookie != 0 {
--- a/internal/standin/simulator/oracle.go
+++ b/internal/standin/simulator/oracle.go
@@ -130,6 +130,26 @@
 	h.lastVersion = v.Version
 }
 
+// checkPlacement checks the verdict on a first packet or a copy of it: it goes to the
+// service to which its route leads in the version that the host has in force.
+func (o *oracle) checkPlacement(h *host, c *connection, p *cactuspin.Packet, v *cactuspin.Verdict) {
+	if p.Flags != cactuspin.FlagSYN || v.Kind != cactuspin.VerdictForward {
+		return
+	}
+	placed := slices.IndexFunc(o.sim.targets, func(t *target) bool { return t.registration.ID == v.Target })
+	for _, a := range o.configurations {
+		if a.routing.Version != v.Version {
+			continue
+		}
+		for i := range a.routing.Routes {
+			r := &a.routing.Routes[i]
+			if r.Address == c.service && r.Services[0].Service != o.sim.targets[placed].registration.Service {
+				o.reportViolation("CONFIG", "host %d has version %d and opens a flow to %s at target %s of %s", h.index, v.Version, c.service, v.Target, o.sim.targets[placed].registration.Service)
+			}
+		}
+	}
+}
+
 // checkPacket checks a packet that a target receives.
 func (o *oracle) checkPacket(h *host, t *target, c *connection, p *cactuspin.Packet) {
 	if p.Flags != cactuspin.FlagSYN {
--- a/internal/steering/balancer/balancer.go
+++ b/internal/steering/balancer/balancer.go
@@ -292,10 +292,11 @@
 
 // placeRetransmission chooses the target for a retransmitted SYN, which means that
 // the caller has had no answer. The target of the first SYN is kept unless it is
-// unusable or suspect, since answers from two targets can confuse the flow.
+// unusable or suspect, or the route has moved to another service meanwhile, since
+// answers from two targets can confuse the flow.
 func (b *Balancer) placeRetransmission(now cactuspin.Time, h *flowShard, f *flow, route *route) (*target, cactuspin.VerdictReason) {
 	t := f.target
-	if !t.usable(now) {
+	if !t.usable(now) || !route.leadsTo(t.service.name) {
 		return b.place(now, h, route, nil), cactuspin.ReasonCopyOtherTarget
 	}
 	t.health.recordMiss(now, f.lastSeen)
--- a/internal/steering/balancer/balancer_test.go
+++ b/internal/steering/balancer/balancer_test.go
@@ -104,6 +104,22 @@
 	g.Expect(restarted.Steer(now, syn(2, feeds, 0)).Target).To(Equal(cactuspin.TargetID("shelf-50")), "new flows go to the new service")
 }
 
+// Guards against flows that open at the former service of a route after the route has
+// moved: copies of a first packet went to the target of the first one.
+func TestACopyOfAFirstPacketFollowsItsRoute(t *testing.T) {
+	g := NewWithT(t)
+	b := newBalancer(1, "a")
+	first := b.Steer(now, syn(1, feeds, 0))
+	b.Apply(now, moveFeeds("shelf"))
+	// The target shows life: another caller acknowledges an answer.
+	b.Steer(now.Add(50*time.Millisecond), data(2, orders, first.Cookie, 0))
+	b.Steer(now.Add(100*time.Millisecond), data(2, orders, first.Cookie, 1))
+	late := b.Steer(now.Add(200*time.Millisecond), syn(1, feeds, 1))
+	g.Expect(late.Target).To(Equal(cactuspin.TargetID("shelf-50")))
+	g.Expect(late.Reason).To(Equal(cactuspin.ReasonCopyOtherTarget))
+	g.Expect(b.Steer(now.Add(250*time.Millisecond), data(1, feeds, first.Cookie, 0)).Target).To(Equal(first.Target), "the caller accepted the first answer")
+}
+
 // Guards against flows that a host follows to a registration which ended, while the same
 // ID is registered in the service to which their route leads.
 func TestACookieOfTwoServicesMeansTheOneOfTheRoute(t *testing.T) {
