--- a/internal/steering/balancer/balancer.go
+++ b/internal/steering/balancer/balancer.go
@@ -257,9 +257,9 @@
 		return b.refuse(now, p, v, cactuspin.ReasonTargetGone)
 	}
 	// A flow whose requests may run again is reset at once if its target is dead
-	// and other targets have free slots. Flows of other requests stay open: the
+	// and targets to which the route leads have free slots. Flows of other requests stay open: the
 	// answer may still come directly from the target.
-	if p.Length > 0 && route.Kind != cactuspin.WorkNonIdempotent && t.health.allowsReset(v.Retransmitted) && t.service.hasCapacity(now) {
+	if p.Length > 0 && route.Kind != cactuspin.WorkNonIdempotent && t.health.allowsReset(v.Retransmitted) && b.hasCapacity(now, route) {
 		f.unassign()
 		return b.refuse(now, p, v, cactuspin.ReasonTargetDown)
 	}
@@ -268,6 +268,14 @@
 	return v
 }
 
+// hasCapacity reports whether a service to which a route leads has room for a new flow.
+func (b *Balancer) hasCapacity(now cactuspin.Time, r *route) bool {
+	return slices.ContainsFunc(r.Services, func(w cactuspin.WeightedService) bool {
+		v := b.services[w.Service]
+		return v != nil && v.hasCapacity(now)
+	})
+}
+
 // steerSYN places the first packet of a flow or a retransmission of it.
 func (b *Balancer) steerSYN(now cactuspin.Time, p *cactuspin.Packet, h *flowShard, route *route, v cactuspin.Verdict) cactuspin.Verdict {
 	b.mu.RLock()
--- a/internal/steering/balancer/balancer_test.go
+++ b/internal/steering/balancer/balancer_test.go
@@ -350,6 +350,28 @@
 	g.Expect(b.Steer(now, data(3, feeds, v.Cookie, 0)).Kind).To(Equal(cactuspin.VerdictForward))
 }
 
+// Guards against resets of flows whose next try is refused, and against flows that are
+// left at a dead target, after a route has moved: what counts is the room where the
+// caller's next try goes.
+func TestAResetAtADeadTargetNeedsCapacityWhereTheRouteLeads(t *testing.T) {
+	g := NewWithT(t)
+	b := newBalancer(1, "a")
+	one, _ := suspectTarget(b, 1)
+	b.RecordProbe(now, now, one.Target, balancer.FindingRefused)
+	answerElsewhere(b, now, one.Target)
+	b.Apply(now, moveFeeds("shelf"))
+	b.Apply(now, &tracker.Change{Removed: []tracker.Removal{{RemovedTarget: cactuspin.RemovedTarget{ID: "shelf-50", Revision: 60}}}})
+	g.Expect(b.Steer(now, data(3, feeds, one.Cookie, 0)).Kind).To(Equal(cactuspin.VerdictForward), "the new service has no target")
+
+	b = newBalancer(1, "a")
+	one, _ = suspectTarget(b, 1)
+	b.RecordProbe(now, now, one.Target, balancer.FindingRefused)
+	other, _ := suspectTarget(b, 2)
+	b.RecordProbe(now, now, other.Target, balancer.FindingRefused)
+	b.Apply(now, moveFeeds("shelf"))
+	g.Expect(b.Steer(now, data(3, feeds, one.Cookie, 0)).Reason).To(Equal(cactuspin.ReasonTargetDown), "the new service has room")
+}
+
 func TestNewFlowsAreRefusedAtOnceIfAllTargetsAreDead(t *testing.T) {
 	g := NewWithT(t)
 	b := newBalancer(1, "a")
