--- a/internal/entry/engine/engine_test.go
+++ b/internal/entry/engine/engine_test.go
@@ -75,6 +75,46 @@
 	g.Expect(out.Store.FullRead).To(BeTrue())
 }
 
+// Guards against hosts that repeat a watch for ever whose answer cannot be used.
+func TestUnusableChangesCauseAFullRead(t *testing.T) {
+	g := NewWithT(t)
+	e, call := loaded(g)
+	at := now
+	for n := range 2 {
+		g.Expect(call.FullRead).To(BeFalse(), "%d unusable answers", n)
+		var out engine.Actions
+		e.StoreAnswered(at, call, nil, errors.Join(cactuspin.ErrAnswerUnusable), &out)
+		at = at.Add(time.Second)
+		out = engine.Actions{}
+		e.Tick(at, &out)
+		call = out.Store
+	}
+	g.Expect(call.FullRead).To(BeTrue())
+	var out engine.Actions
+	e.StoreAnswered(at, call, full(20), nil, &out)
+	g.Expect(e.Status(at).Revision).To(Equal(cactuspin.Revision(20)))
+	g.Expect(out.Store.FullRead).To(BeFalse(), "changes are watched from there on")
+	g.Expect(out.Store.After).To(Equal(cactuspin.Revision(20)))
+}
+
+// A connection that breaks off for once does not make a host read everything.
+func TestAnUnusableAnswerIsAskedForAgainOnce(t *testing.T) {
+	g := NewWithT(t)
+	e, call := loaded(g)
+	at := now
+	for range 4 {
+		var out engine.Actions
+		e.StoreAnswered(at, call, nil, errors.Join(cactuspin.ErrAnswerUnusable), &out)
+		at = at.Add(time.Second)
+		out = engine.Actions{}
+		e.Tick(at, &out)
+		g.Expect(out.Store.FullRead).To(BeFalse())
+		call, out = out.Store, engine.Actions{}
+		e.StoreAnswered(at, call, &cactuspin.Update{After: 10, Revision: 10}, nil, &out)
+		call = out.Store
+	}
+}
+
 func TestFailedCallsAreRetriedWithBackoff(t *testing.T) {
 	g := NewWithT(t)
 	e, call := loaded(g)
--- a/internal/entry/engine/store.go
+++ b/internal/entry/engine/store.go
@@ -17,6 +17,9 @@
 	// batchDelay is the delay after an answer with changes, so that changes in
 	// quick succession need one call.
 	batchDelay = 100 * time.Millisecond
+	// maxUnusableAnswers is the number of unusable answers in a row after which the
+	// store is read in whole. A connection that broke off once may work the next time.
+	maxUnusableAnswers = 2
 )
 
 // storeState is the state of the calls to the store.
@@ -27,8 +30,10 @@
 	retryDelay time.Duration
 	failed     bool
 	// historyLost reports that the store no longer has the changes after the
-	// known revision.
+	// known revision, or has no usable answer with them.
 	historyLost bool
+	// unusable counts the answers in a row that could not be used.
+	unusable int
 	// fullRead is the full read in progress, or nil.
 	fullRead *fullRead
 }
@@ -60,6 +65,7 @@
 		e.call(now, out)
 		return
 	}
+	e.countUnusable(c, err, out)
 	if err != nil {
 		e.handleStoreError(now, err, out)
 		return
@@ -68,6 +74,21 @@
 	e.call(now, out)
 }
 
+// countUnusable counts the watch answers in a row that could not be used. The same watch
+// would fail again, so that after a few of them the store is read page by page instead.
+func (e *Engine) countUnusable(c *StoreCall, err error, out *Actions) {
+	if !errors.Is(err, cactuspin.ErrAnswerUnusable) || c.FullRead {
+		e.store.unusable = 0
+		return
+	}
+	if e.store.unusable++; e.store.unusable < maxUnusableAnswers {
+		return
+	}
+	e.store.unusable = 0
+	e.store.historyLost = true
+	out.note(slog.LevelWarn, "store: changes unusable, reading everything", slog.Uint64("revision", uint64(c.After)))
+}
+
 func (e *Engine) handleStoreError(now cactuspin.Time, err error, out *Actions) {
 	e.tracker.RecordStoreError(now)
 	if !e.store.failed {
--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -3,6 +3,7 @@
 package metastore
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"net/http"
 	"slices"
@@ -12,8 +13,13 @@
 	"time"
 )
 
-// pageItems is the maximum number of items in a page.
-const pageItems = 500
+// Limits of a page: it ends before the item with which it would exceed one of them, but
+// has at least one item.
+const (
+	pageItems = 500
+	// pageBytes limits the length of the values in base64.
+	pageBytes = 1 << 20
+)
 
 // item is an item of the store, or the event of its deletion.
 type item struct {
@@ -140,8 +146,20 @@
 		}
 	}
 	slices.SortFunc(matching, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
-	hasMore := len(matching) > pageItems
-	writeJSON(w, map[string]any{"items": matching[:min(len(matching), pageItems)], "has_more": hasMore, "store_revision": s.revision})
+	page := firstPage(matching)
+	writeJSON(w, map[string]any{"items": page, "has_more": len(page) < len(matching), "store_revision": s.revision})
+}
+
+// firstPage returns the items that fit into one page.
+func firstPage(items []item) []item {
+	bytes := 0
+	for i := range items {
+		bytes += base64.StdEncoding.EncodedLen(len(items[i].Value))
+		if i == pageItems || (i > 0 && bytes > pageBytes) {
+			return items[:i]
+		}
+	}
+	return items
 }
 
 func (s *Store) serveWatch(w http.ResponseWriter, r *http.Request) {
--- a/steering.go
+++ b/steering.go
@@ -145,7 +145,8 @@
 }
 
 // Store is the platform's metadata store. Its errors are wrapped; after one that
-// matches ErrHistoryLost, the content must be read again with Read.
+// matches ErrHistoryLost, or ErrAnswerUnusable again and again, the content must be read
+// again with Read.
 type Store interface {
 	// Read returns a page of all registrations and the routing. The pages are read
 	// at different times, so a read of all pages is only complete up to the revision
@@ -172,6 +173,9 @@
 const (
 	// ErrHistoryLost reports that the store no longer has the requested changes.
 	ErrHistoryLost = storeError("history is no longer available")
+	// ErrAnswerUnusable reports an answer that broke off or could not be decoded. The
+	// same call may give the same answer again.
+	ErrAnswerUnusable = storeError("answer cannot be used")
 	// ErrLeaseEnded reports that a lease has ended.
 	ErrLeaseEnded = storeError("lease has ended")
 )
