--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -34,7 +34,7 @@
 platform: {address: "127.77.0.9:8169"}
 `
 	configuration = `{"version":7,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/443/","kind":"idempotent","timeout_ms":1500,"service":"s"}],"limits":{"idle_timeout_ms":15000}}`
-	registration  = `{"service":"s","address":"127.77.0.5:8080","zone":"z","slots":3,"state":"ready"}`
+	registration  = `{"service":"s","address":"127.77.0.5:8080","zone":"z","version":"v1","slots":3,"state":"ready","warmup_left_ms":0,"seq_no":1}`
 )
 
 // serveStore starts a stand-in of the store at an address.
