--- a/internal/steering/balancer/balancer.go
+++ b/internal/steering/balancer/balancer.go
@@ -44,14 +44,16 @@
 	routes atomic.Pointer[routeTable]
 	// mu guards the services and their targets. The lock of a flow shard is
 	// acquired before it.
-	mu        sync.RWMutex
-	services  map[cactuspin.ServiceName]*service
-	targets   map[cactuspin.TargetID]*target
-	byAddress addressIndex
-	byCookie  cookieIndex
-	removed   []*target
-	active    activeSet
-	flows     flowTable
+	mu       sync.RWMutex
+	services map[cactuspin.ServiceName]*service
+	// namedServices are the services that the configuration names.
+	namedServices map[cactuspin.ServiceName]bool
+	targets       map[cactuspin.TargetID]*target
+	byAddress     addressIndex
+	byCookie      cookieIndex
+	removed       []*target
+	active        activeSet
+	flows         flowTable
 	// confirmed is the time at which the knowledge in use was last up to date,
 	// healthySince the time of the store's last recovery from a failure.
 	confirmed    atomic.Int64
@@ -135,6 +137,23 @@
 		t.routes[e] = x
 	}
 	b.routes.Store(t)
+	b.setNamedServices(r)
+}
+
+// setNamedServices marks the services that the configuration names.
+func (b *Balancer) setNamedServices(r *cactuspin.Routing) {
+	b.namedServices = map[cactuspin.ServiceName]bool{}
+	for _, name := range r.Services {
+		b.namedServices[name] = true
+	}
+	for i := range r.Routes {
+		for _, w := range r.Routes[i].Services {
+			b.namedServices[w.Service] = true
+		}
+	}
+	for name, v := range b.services {
+		v.named = b.namedServices[name]
+	}
 }
 
 func (b *Balancer) setTarget(now cactuspin.Time, r *cactuspin.RegisteredTarget) {
@@ -153,7 +172,7 @@
 	}
 	v := b.services[r.Service]
 	if v == nil {
-		v = &service{name: r.Service}
+		v = &service{name: r.Service, named: b.namedServices[r.Service]}
 		b.services[r.Service] = v
 	}
 	t = newTarget(now, r, v)
--- a/internal/steering/balancer/balancer_test.go
+++ b/internal/steering/balancer/balancer_test.go
@@ -34,7 +34,8 @@
 	one := func(s cactuspin.ServiceName) []cactuspin.WeightedService {
 		return []cactuspin.WeightedService{{Service: s, Weight: 1}}
 	}
-	return &cactuspin.Routing{Version: 3, IdleTimeout: 15 * time.Second, Routes: []cactuspin.Route{
+	services := []cactuspin.ServiceName{"desk", "shelf"}
+	return &cactuspin.Routing{Version: 3, IdleTimeout: 15 * time.Second, Services: services, Routes: []cactuspin.Route{
 		{Name: "feed", Address: feeds, Kind: cactuspin.WorkIdempotent, Services: one("desk"), Timeout: 1500 * time.Millisecond},
 		{Name: "order", Address: orders, Kind: cactuspin.WorkNonIdempotent, Services: one("desk"), Timeout: 2 * time.Second},
 	}}
@@ -544,3 +545,24 @@
 	b.Apply(now, &tracker.Change{Targets: []cactuspin.RegisteredTarget{moved}})
 	g.Expect(b.Steer(now, data(300, feeds, cookie, 0)).TargetAddress).To(Equal(moved.Address))
 }
+
+// Guards against services without a usable target: entries of another writer, for a service
+// that no configuration names, took the targets at their addresses out of use.
+func TestARegistrationOfAnUnnamedServiceTakesNoAddress(t *testing.T) {
+	g := NewWithT(t)
+	b := newBalancer(1, "a")
+	var foreign []cactuspin.RegisteredTarget
+	for i := range 2 {
+		r := registered(100+i, "inventory", "a")
+		r.Address, r.Started = registered(1+i, "desk", "a").Address, 5
+		foreign = append(foreign, r)
+	}
+	b.Apply(now, &tracker.Change{Targets: foreign})
+	for port := range 20 {
+		g.Expect(b.Steer(now, syn(port, feeds, 0)).Kind).To(Equal(cactuspin.VerdictForward))
+	}
+	named := routing()
+	named.Version, named.Services = named.Version+1, append(named.Services, "inventory")
+	b.Apply(now, &tracker.Change{Routing: named})
+	g.Expect(b.Steer(now, syn(100, feeds, 0)).Reason).To(Equal(cactuspin.ReasonNoTarget), "the addresses have passed to a service of the platform")
+}
--- a/internal/steering/balancer/service.go
+++ b/internal/steering/balancer/service.go
@@ -29,6 +29,8 @@
 // service holds the targets of one service.
 type service struct {
 	name cactuspin.ServiceName
+	// named reports that the configuration names the service.
+	named bool
 	// zones are sorted by name.
 	zones []*zone
 }
--- a/internal/steering/balancer/target.go
+++ b/internal/steering/balancer/target.go
@@ -85,9 +85,11 @@
 
 // replaced reports whether a later target is registered at the same address. Then
 // this one stopped without deregistering, and its registration has not expired
-// yet. A probe cannot detect this, since the address answers.
+// yet. A probe cannot detect this, since the address answers. The registration of a
+// service that no configuration names may be that of another writer, and no flow would
+// go there instead.
 func (t *target) replaced() bool {
-	return slices.ContainsFunc(t.group.targets, func(x *target) bool { return x.removedAt == 0 && x.startedAfter(t) })
+	return slices.ContainsFunc(t.group.targets, func(x *target) bool { return x.removedAt == 0 && x.service.named && x.startedAfter(t) })
 }
 
 func (t *target) startedAfter(x *target) bool {
--- a/steering.go
+++ b/steering.go
@@ -67,6 +67,8 @@
 	Routes   []Route        `cbor:"3,keyasint"`
 	// IdleTimeout is how long a flow may be idle before its state can be removed.
 	IdleTimeout time.Duration `cbor:"4,keyasint"`
+	// Services are the services that the configuration names, with routes or without.
+	Services []ServiceName `cbor:"5,keyasint,omitempty"`
 }
 
 // TargetState is the state that a target reports in its registration.
