--- a/internal/entry/engine/actions.go
+++ b/internal/entry/engine/actions.go
@@ -90,6 +90,9 @@
 			slog.Uint64("cookie", uint64(balancer.CookieOf(t.ID))),
 		}, common...)...)
 	}
+	if len(c.Unreadable) > 0 {
+		out.note(slog.LevelWarn, "knowledge: registrations unreadable", append([]slog.Attr{slog.Int("unknown_targets", len(c.Unreadable))}, common...)...)
+	}
 	for _, removal := range c.Removed {
 		out.note(slog.LevelInfo, "knowledge: target gone", append([]slog.Attr{
 			slog.String("target", string(removal.ID)),
--- a/internal/entry/engine/reading.go
+++ b/internal/entry/engine/reading.go
@@ -21,6 +21,7 @@
 func (r *fullRead) add(now cactuspin.Time, u *cactuspin.Update) *cactuspin.Update {
 	r.update.Targets = append(r.update.Targets, u.Targets...)
 	r.update.Removed = append(r.update.Removed, u.Removed...)
+	r.update.Unreadable = append(r.update.Unreadable, u.Unreadable...)
 	if u.Routing != nil {
 		r.update.Routing = u.Routing
 	}
--- a/internal/knowledge/tracker/tracker.go
+++ b/internal/knowledge/tracker/tracker.go
@@ -21,6 +21,9 @@
 	// maxRemoved limits the removals that are remembered for hosts that are
 	// behind. If there are more, these hosts get a full update.
 	maxRemoved = 4096
+	// maxUnreadable limits the unreadable registrations of unknown targets that are
+	// remembered. Flows of further ones are reset by hosts that start meanwhile.
+	maxUnreadable = 4096
 	// UnknownAge is the age reported while a host has no complete knowledge.
 	UnknownAge = time.Hour
 )
@@ -31,10 +34,15 @@
 	Routing *cactuspin.Routing
 	Targets []cactuspin.RegisteredTarget
 	Removed []Removal
+	// Unreadable lists targets whose registration cannot be used, and of which nothing
+	// else is known.
+	Unreadable []cactuspin.TargetID
 }
 
 // Empty reports whether nothing changed.
-func (c *Change) Empty() bool { return c.Routing == nil && len(c.Targets) == 0 && len(c.Removed) == 0 }
+func (c *Change) Empty() bool {
+	return c.Routing == nil && len(c.Targets) == 0 && len(c.Removed) == 0 && len(c.Unreadable) == 0
+}
 
 // Removal is a registration that ended.
 type Removal struct {
@@ -61,6 +69,9 @@
 	healthySince cactuspin.Time
 	routing      *cactuspin.Routing
 	targets      map[cactuspin.TargetID]cactuspin.RegisteredTarget
+	// unreadable holds the revisions of registrations that cannot be used, of targets
+	// that are not in targets.
+	unreadable map[cactuspin.TargetID]cactuspin.Revision
 	// removed holds the revisions of ended registrations.
 	removed map[cactuspin.TargetID]cactuspin.Revision
 	// removedSince is the revision after which removed is complete.
@@ -72,8 +83,9 @@
 // New returns a Tracker without knowledge.
 func New() *Tracker {
 	return &Tracker{
-		targets: map[cactuspin.TargetID]cactuspin.RegisteredTarget{},
-		removed: map[cactuspin.TargetID]cactuspin.Revision{},
+		targets:    map[cactuspin.TargetID]cactuspin.RegisteredTarget{},
+		unreadable: map[cactuspin.TargetID]cactuspin.Revision{},
+		removed:    map[cactuspin.TargetID]cactuspin.Revision{},
 	}
 }
 
@@ -131,6 +143,9 @@
 	for i := range u.Targets {
 		tr.mergeTarget(&u.Targets[i], &c)
 	}
+	for _, x := range u.Unreadable {
+		tr.mergeUnreadable(x, &c)
+	}
 	for _, removal := range u.Removed {
 		tr.mergeRemoval(removal, hold, &c)
 	}
@@ -189,12 +204,20 @@
 	for i := range u.Targets {
 		listed[u.Targets[i].ID] = true
 	}
+	for _, x := range u.Unreadable {
+		listed[x.ID] = true
+	}
 	var unlisted []cactuspin.TargetID
 	for id := range tr.targets {
 		if !listed[id] {
 			unlisted = append(unlisted, id)
 		}
 	}
+	for id, revision := range tr.unreadable {
+		if !listed[id] && revision <= u.Revision {
+			unlisted = append(unlisted, id)
+		}
+	}
 	sort.Slice(unlisted, func(i, j int) bool { return unlisted[i] < unlisted[j] })
 	for _, id := range unlisted {
 		if tr.targets[id].Revision <= u.Revision {
@@ -214,21 +237,55 @@
 		return
 	}
 	delete(tr.removed, t.ID)
-	tr.targets[t.ID] = *t
+	merged := *t
+	if revision := tr.unreadable[t.ID]; revision > t.Revision {
+		merged.State, merged.Revision = cactuspin.TargetUnreadable, revision
+	}
+	delete(tr.unreadable, t.ID)
+	tr.recordTarget(merged, c)
+}
+
+func (tr *Tracker) recordTarget(t cactuspin.RegisteredTarget, c *Change) {
+	tr.targets[t.ID] = t
 	tr.lastChange = max(tr.lastChange, t.Revision)
-	c.Targets = append(c.Targets, *t)
+	c.Targets = append(c.Targets, t)
+}
+
+// mergeUnreadable merges a registration that cannot be used. Whether its target is alive
+// is open, so that what is known of the target is kept for its open flows.
+func (tr *Tracker) mergeUnreadable(x cactuspin.UnreadableTarget, c *Change) {
+	if tr.removed[x.ID] >= x.Revision {
+		return
+	}
+	if t, ok := tr.targets[x.ID]; ok {
+		if t.Revision < x.Revision {
+			t.State, t.Revision = cactuspin.TargetUnreadable, x.Revision
+			tr.recordTarget(t, c)
+		}
+		return
+	}
+	known := tr.unreadable[x.ID]
+	if known >= x.Revision || (known == 0 && len(tr.unreadable) >= maxUnreadable) {
+		return
+	}
+	delete(tr.removed, x.ID)
+	tr.unreadable[x.ID] = x.Revision
+	tr.lastChange = max(tr.lastChange, x.Revision)
+	c.Unreadable = append(c.Unreadable, x.ID)
 }
 
 func (tr *Tracker) mergeRemoval(removal cactuspin.RemovedTarget, hold time.Duration, c *Change) {
 	old, ok := tr.targets[removal.ID]
-	if (ok && old.Revision >= removal.Revision) || tr.removed[removal.ID] >= removal.Revision {
+	unreadable := tr.unreadable[removal.ID]
+	if max(old.Revision, unreadable, tr.removed[removal.ID]) >= removal.Revision {
 		return
 	}
 	tr.recordRemoval(removal)
 	tr.lastChange = max(tr.lastChange, removal.Revision)
-	if !ok {
+	if !ok && unreadable == 0 {
 		return
 	}
+	delete(tr.unreadable, removal.ID)
 	delete(tr.targets, removal.ID)
 	if old.State == cactuspin.TargetDraining {
 		hold = 0
@@ -282,6 +339,11 @@
 			u.Targets = append(u.Targets, t)
 		}
 	}
+	for id, r := range tr.unreadable {
+		if r > after {
+			u.Unreadable = append(u.Unreadable, cactuspin.UnreadableTarget{ID: id, Revision: r})
+		}
+	}
 	for id, r := range tr.removed {
 		if r > after && !u.Full {
 			u.Removed = append(u.Removed, cactuspin.RemovedTarget{ID: id, Revision: r})
--- a/internal/knowledge/tracker/tracker_test.go
+++ b/internal/knowledge/tracker/tracker_test.go
@@ -125,3 +125,61 @@
 	tr.Confirm(later, tracker.Confirmation{Revision: 10, LastChange: 9, Age: 200 * time.Millisecond, Reader: other})
 	g.Expect(tr.Position(later).Reader).To(Equal(other))
 }
+
+func unreadable(id string, revision uint64) []cactuspin.UnreadableTarget {
+	return []cactuspin.UnreadableTarget{{ID: cactuspin.TargetID(id), Revision: cactuspin.Revision(revision)}}
+}
+
+// Guards against open flows that are reset because another writer has overwritten the
+// registration of their target for a moment.
+func TestAnUnreadableRegistrationDoesNotEndItsTarget(t *testing.T) {
+	for name, u := range map[string]*cactuspin.Update{
+		"change": {After: 10, Revision: 12, Unreadable: unreadable("a", 12)},
+		"full": {
+			Full: true, Revision: 12, Routing: routing(3, 4),
+			Targets: []cactuspin.RegisteredTarget{target("b", 9, cactuspin.TargetDraining)}, Unreadable: unreadable("a", 12),
+		},
+	} {
+		g := NewWithT(t)
+		tr := loaded(g)
+		c, ok := tr.Merge(now, u)
+		g.Expect(ok).To(BeTrue(), name)
+		g.Expect(c.Removed).To(BeEmpty(), name)
+		g.Expect(c.Targets).To(Equal([]cactuspin.RegisteredTarget{target("a", 12, cactuspin.TargetUnreadable)}), name)
+		c, _ = tr.Merge(now, &cactuspin.Update{After: 10, Revision: 11, Targets: []cactuspin.RegisteredTarget{target("a", 11, cactuspin.TargetReady)}})
+		g.Expect(c.Empty()).To(BeTrue(), "an older registration is not used again")
+		c, _ = tr.Merge(now, &cactuspin.Update{After: 12, Revision: 13, Targets: []cactuspin.RegisteredTarget{target("a", 13, cactuspin.TargetReady)}})
+		g.Expect(c.Targets).To(Equal([]cactuspin.RegisteredTarget{target("a", 13, cactuspin.TargetReady)}), name)
+		c, _ = tr.Merge(now, &cactuspin.Update{After: 13, Revision: 15, Unreadable: unreadable("a", 14), Removed: []cactuspin.RemovedTarget{{ID: "a", Revision: 15}}})
+		g.Expect(c.Removed).To(HaveLen(1), "the registration has ended")
+	}
+}
+
+// A host that starts while a registration is unreadable learns of its target from peers,
+// and otherwise knows that there may be one.
+func TestUnreadableRegistrationsOfUnknownTargets(t *testing.T) {
+	g := NewWithT(t)
+	tr := tracker.New()
+	c, _ := tr.Merge(now, &cactuspin.Update{Full: true, Revision: 12, HealthyFor: time.Minute, Routing: routing(3, 4), Unreadable: unreadable("a", 12)})
+	g.Expect(c.Unreadable).To(Equal([]cactuspin.TargetID{"a"}))
+	u, _ := tr.UpdateSince(now, 0)
+	g.Expect(u.Unreadable).To(Equal(unreadable("a", 12)))
+
+	peer := loaded(g)
+	peer.Merge(now, &cactuspin.Update{After: 10, Revision: 12, Unreadable: unreadable("a", 12)})
+	u, _ = peer.UpdateSince(now, 0)
+	c, _ = tr.Merge(now, &u)
+	g.Expect(c.Targets).To(ContainElement(target("a", 12, cactuspin.TargetUnreadable)))
+
+	behind := tracker.New()
+	behind.Merge(now, &cactuspin.Update{Full: true, Revision: 12, Unreadable: unreadable("a", 12)})
+	c, _ = behind.Merge(now, &cactuspin.Update{After: 5, Revision: 10, Targets: []cactuspin.RegisteredTarget{target("a", 8, cactuspin.TargetReady)}})
+	g.Expect(c.Targets).To(Equal([]cactuspin.RegisteredTarget{target("a", 12, cactuspin.TargetUnreadable)}), "an older registration tells whose it is")
+
+	ended := tracker.New()
+	ended.Merge(now, &cactuspin.Update{Full: true, Revision: 12, Unreadable: unreadable("a", 12)})
+	c, _ = ended.Merge(now, &cactuspin.Update{Full: true, Revision: 13})
+	g.Expect(c.Removed).To(HaveLen(1), "the registration has ended")
+	u, _ = ended.UpdateSince(now, 0)
+	g.Expect(u.Unreadable).To(BeEmpty())
+}
--- a/internal/standin/simulator/faults.go
+++ b/internal/standin/simulator/faults.go
@@ -126,30 +126,31 @@
 // faultHandlers returns the functions that inject faults, by kind.
 func (s *Simulation) faultHandlers() map[string]func(*Fault) {
 	return map[string]func(*Fault){
-		"config_change":    func(*Fault) { s.putConfiguration(configurationChange{}) },
-		"config_drop":      func(*Fault) { s.putConfiguration(configurationChange{omitted: diagramRoute}) },
-		"config_move":      func(*Fault) { s.putConfiguration(configurationChange{diagrams: serviceOrders}) },
-		"host_kill":        func(f *Fault) { s.eachHost(f, func(h *host) { h.kill(f.For.Duration) }) },
-		"host_freeze":      func(f *Fault) { s.eachHost(f, func(h *host) { h.freeze(f.For.Duration) }) },
-		"host_stop":        func(f *Fault) { s.eachHost(f, func(h *host) { h.stop() }) },
-		"host_cut":         func(f *Fault) { s.eachHost(f, func(h *host) { s.isolateHost(h, f) }) },
-		"host_store_cut":   func(f *Fault) { s.eachHost(f, func(h *host) { s.isolateFromStore(h, f) }) },
-		"kill_all":         s.killAllHosts,
-		"store_down":       s.injectStoreOutage,
-		"store_refuses":    s.refuseHosts,
-		"store_slow":       s.slowStore,
-		"store_forgets":    s.stallWatchesAndCompact,
-		"store_silences":   func(*Fault) { s.store.dropWatches() },
-		"zone_cut":         s.isolateZone,
-		"lossy":            s.dropDatagrams,
-		"target_crash":     func(f *Fault) { s.eachTarget(f, (*target).crash) },
-		"target_drain":     func(f *Fault) { s.eachTarget(f, (*target).drain) },
-		"target_restart":   func(f *Fault) { s.eachTarget(f, s.restartTarget) },
-		"target_reuse":     func(f *Fault) { s.eachTarget(f, s.reuseAddress) },
-		"target_add":       func(f *Fault) { s.eachTarget(f, s.addSibling) },
-		"target_fails":     func(f *Fault) { s.eachTarget(f, func(t *target) { s.failTarget(t, f) }) },
-		"target_stall":     func(f *Fault) { s.eachTarget(f, func(t *target) { s.delayTarget(t, f) }) },
-		"target_store_cut": func(f *Fault) { s.eachTarget(f, s.expireRegistration) },
+		"config_change":      func(*Fault) { s.putConfiguration(configurationChange{}) },
+		"config_drop":        func(*Fault) { s.putConfiguration(configurationChange{omitted: diagramRoute}) },
+		"config_move":        func(*Fault) { s.putConfiguration(configurationChange{diagrams: serviceOrders}) },
+		"host_kill":          func(f *Fault) { s.eachHost(f, func(h *host) { h.kill(f.For.Duration) }) },
+		"host_freeze":        func(f *Fault) { s.eachHost(f, func(h *host) { h.freeze(f.For.Duration) }) },
+		"host_stop":          func(f *Fault) { s.eachHost(f, func(h *host) { h.stop() }) },
+		"host_cut":           func(f *Fault) { s.eachHost(f, func(h *host) { s.isolateHost(h, f) }) },
+		"host_store_cut":     func(f *Fault) { s.eachHost(f, func(h *host) { s.isolateFromStore(h, f) }) },
+		"kill_all":           s.killAllHosts,
+		"store_down":         s.injectStoreOutage,
+		"store_refuses":      s.refuseHosts,
+		"store_slow":         s.slowStore,
+		"store_forgets":      s.stallWatchesAndCompact,
+		"store_silences":     func(*Fault) { s.store.dropWatches() },
+		"zone_cut":           s.isolateZone,
+		"lossy":              s.dropDatagrams,
+		"target_crash":       func(f *Fault) { s.eachTarget(f, (*target).crash) },
+		"target_drain":       func(f *Fault) { s.eachTarget(f, (*target).drain) },
+		"target_restart":     func(f *Fault) { s.eachTarget(f, s.restartTarget) },
+		"target_reuse":       func(f *Fault) { s.eachTarget(f, s.reuseAddress) },
+		"target_add":         func(f *Fault) { s.eachTarget(f, s.addSibling) },
+		"target_fails":       func(f *Fault) { s.eachTarget(f, func(t *target) { s.failTarget(t, f) }) },
+		"target_stall":       func(f *Fault) { s.eachTarget(f, func(t *target) { s.delayTarget(t, f) }) },
+		"target_overwritten": func(f *Fault) { s.eachTarget(f, func(t *target) { s.overwriteRegistration(t, f) }) },
+		"target_store_cut":   func(f *Fault) { s.eachTarget(f, s.expireRegistration) },
 	}
 }
 
@@ -319,6 +320,13 @@
 	})
 }
 
+// overwriteRegistration lets another writer replace the registration of a live target by
+// one that cannot be used; the target writes its own again later.
+func (s *Simulation) overwriteRegistration(t *target, f *Fault) {
+	s.store.overwriteTarget(t.registration.ID)
+	s.after(f.For.Duration, t.register)
+}
+
 // addSibling adds an idle target of the same service in the same zone.
 func (s *Simulation) addSibling(t *target) { s.addTarget(t.zone, t.registration.Service).register() }
 
--- a/internal/standin/simulator/store.go
+++ b/internal/standin/simulator/store.go
@@ -33,7 +33,9 @@
 	routing       *cactuspin.Routing
 	target        *cactuspin.RegisteredTarget
 	removedTarget cactuspin.TargetID
-	host          *cactuspin.EntryHost
+	// unreadable is a target whose registration another writer replaced.
+	unreadable cactuspin.TargetID
+	host       *cactuspin.EntryHost
 }
 
 // store models the platform's store.
@@ -42,8 +44,10 @@
 	revision cactuspin.Revision
 	routing  *cactuspin.Routing
 	targets  map[cactuspin.TargetID]cactuspin.RegisteredTarget
-	hosts    []cactuspin.EntryHost
-	history  []change
+	// unreadable holds the revisions of the registrations that another writer replaced.
+	unreadable map[cactuspin.TargetID]cactuspin.Revision
+	hosts      []cactuspin.EntryHost
+	history    []change
 	// compactedRevision is the revision after which history is kept.
 	compactedRevision cactuspin.Revision
 	pendingWatches    []*pendingCall
@@ -65,7 +69,7 @@
 }
 
 func newStore(s *Simulation) *store {
-	return &store{sim: s, revision: 7, compactedRevision: 7, targets: map[cactuspin.TargetID]cactuspin.RegisteredTarget{}, refusedHosts: map[*host]bool{}}
+	return &store{sim: s, revision: 7, compactedRevision: 7, targets: map[cactuspin.TargetID]cactuspin.RegisteredTarget{}, unreadable: map[cactuspin.TargetID]cactuspin.Revision{}, refusedHosts: map[*host]bool{}}
 }
 
 func (s *store) commit(c change) cactuspin.Revision {
@@ -95,6 +99,7 @@
 	}
 	t.Revision = s.revision + 1
 	s.targets[t.ID] = t
+	delete(s.unreadable, t.ID)
 	s.commit(change{target: &t})
 	return true
 }
@@ -107,6 +112,13 @@
 	s.commit(change{removedTarget: id})
 }
 
+// overwriteTarget replaces a registration by one that cannot be used.
+func (s *store) overwriteTarget(id cactuspin.TargetID) {
+	delete(s.targets, id)
+	s.unreadable[id] = s.revision + 1
+	s.commit(change{unreadable: id})
+}
+
 func (s *store) announceHost(h cactuspin.EntryHost) {
 	s.hosts = append(s.hosts, h)
 	s.commit(change{host: &h})
@@ -154,6 +166,9 @@
 	capacity := pageItems
 	if cursor == "" {
 		u.Routing, u.Hosts = s.routing, slices.Clone(s.hosts)
+		for _, id := range slices.Sorted(maps.Keys(s.unreadable)) {
+			u.Unreadable = append(u.Unreadable, cactuspin.UnreadableTarget{ID: id, Revision: s.unreadable[id]})
+		}
 		capacity = max(0, pageItems-1-len(s.hosts))
 	}
 	ids := slices.Sorted(maps.Keys(s.targets))
@@ -198,6 +213,8 @@
 		u.Routing = c.routing
 	case c.target != nil:
 		u.Targets = append(u.Targets, *c.target)
+	case c.unreadable != "":
+		u.Unreadable = append(u.Unreadable, cactuspin.UnreadableTarget{ID: c.unreadable, Revision: c.revision})
 	case c.host != nil:
 		u.Hosts = append(u.Hosts, *c.host)
 	default:
--- a/internal/steering/balancer/balancer.go
+++ b/internal/steering/balancer/balancer.go
@@ -51,9 +51,12 @@
 	targets       map[cactuspin.TargetID]*target
 	byAddress     addressIndex
 	byCookie      cookieIndex
-	removed       []*target
-	active        activeSet
-	flows         flowTable
+	// unreadable holds the cookies of targets that may be alive, but whose address is not
+	// known because their registration cannot be used.
+	unreadable map[cactuspin.Cookie]bool
+	removed    []*target
+	active     activeSet
+	flows      flowTable
 	// confirmed is the time at which the knowledge in use was last up to date,
 	// healthySince the time of the store's last recovery from a failure.
 	confirmed    atomic.Int64
@@ -86,11 +89,12 @@
 // New returns a balancer without knowledge, which drops every packet.
 func New(c Config) *Balancer {
 	b := &Balancer{
-		config:    c,
-		services:  map[cactuspin.ServiceName]*service{},
-		targets:   map[cactuspin.TargetID]*target{},
-		byAddress: addressIndex{},
-		byCookie:  cookieIndex{},
+		config:     c,
+		services:   map[cactuspin.ServiceName]*service{},
+		targets:    map[cactuspin.TargetID]*target{},
+		byAddress:  addressIndex{},
+		byCookie:   cookieIndex{},
+		unreadable: map[cactuspin.Cookie]bool{},
 	}
 	b.flows.init(c.MaxFlows, c.Seed)
 	b.Reconfigure(c.StaleAfter)
@@ -113,7 +117,11 @@
 	for i := range c.Targets {
 		b.setTarget(now, &c.Targets[i])
 	}
+	for _, id := range c.Unreadable {
+		b.unreadable[CookieOf(id)] = true
+	}
 	for _, r := range c.Removed {
+		delete(b.unreadable, CookieOf(r.ID))
 		if t := b.targets[r.ID]; t != nil {
 			t.end(now, r.Hold)
 			b.removed = append(b.removed, t)
@@ -157,6 +165,7 @@
 }
 
 func (b *Balancer) setTarget(now cactuspin.Time, r *cactuspin.RegisteredTarget) {
+	delete(b.unreadable, CookieOf(r.ID))
 	t := b.targets[r.ID]
 	if t != nil && t.registered.Service == r.Service && t.registered.Zone == r.Zone {
 		if a := t.registered.Address; a != r.Address {
@@ -260,7 +269,7 @@
 		t = b.byCookie.find(now, route, p.Cookie)
 	}
 	if t == nil {
-		if now.Sub(cactuspin.Time(b.healthySince.Load())) < reregistrationTime {
+		if b.unreadable[p.Cookie] || now.Sub(cactuspin.Time(b.healthySince.Load())) < reregistrationTime {
 			v.Reason = cactuspin.ReasonUnknownCookie
 			return v
 		}
--- a/internal/steering/balancer/balancer_test.go
+++ b/internal/steering/balancer/balancer_test.go
@@ -566,3 +566,34 @@
 	b.Apply(now, &tracker.Change{Routing: named})
 	g.Expect(b.Steer(now, syn(100, feeds, 0)).Reason).To(Equal(cactuspin.ReasonNoTarget), "the addresses have passed to a service of the platform")
 }
+
+// Guards against resets of the open flows of a living target, and against new flows to a
+// target that may be gone, while another writer has overwritten its registration.
+func TestATargetWithAnUnreadableRegistrationKeepsItsOpenFlowsOnly(t *testing.T) {
+	g := NewWithT(t)
+	b := newBalancer(1, "a")
+	v := b.Steer(now, syn(1, feeds, 0))
+	unreadable := registered(int(v.TargetNumber), "desk", "a")
+	unreadable.State, unreadable.Revision = cactuspin.TargetUnreadable, 50
+	b.Apply(now, &tracker.Change{Targets: []cactuspin.RegisteredTarget{unreadable}})
+	g.Expect(b.Steer(now, data(1, feeds, v.Cookie, 0)).Target).To(Equal(v.Target))
+	g.Expect(b.Steer(now, data(2, feeds, v.Cookie, 0)).Target).To(Equal(v.Target), "opened through another host")
+	for port := range 20 {
+		g.Expect(b.Steer(now, syn(100+port, feeds, 0)).Target).NotTo(Equal(v.Target))
+	}
+}
+
+// Guards against resets by a host that starts while a registration is unreadable, so that
+// it does not know the address of a living target.
+func TestFlowsOfAnUnknownTargetWithAnUnreadableRegistrationAreNotReset(t *testing.T) {
+	g := NewWithT(t)
+	b := newBalancer(1, "a")
+	cookie := balancer.CookieOf("desk-9")
+	b.Apply(now, &tracker.Change{Unreadable: []cactuspin.TargetID{"desk-9"}})
+	g.Expect(b.Steer(now, data(1, feeds, cookie, 0)).Kind).To(Equal(cactuspin.VerdictDrop))
+	b.Apply(now, &tracker.Change{Targets: []cactuspin.RegisteredTarget{registered(9, "desk", "a")}})
+	g.Expect(b.Steer(now, data(1, feeds, cookie, 0)).Kind).To(Equal(cactuspin.VerdictForward))
+	b.Apply(now, &tracker.Change{Unreadable: []cactuspin.TargetID{"desk-10"}})
+	b.Apply(now, &tracker.Change{Removed: []tracker.Removal{{RemovedTarget: cactuspin.RemovedTarget{ID: "desk-10", Revision: 60}}}})
+	g.Expect(b.Steer(now, data(2, feeds, balancer.CookieOf("desk-10"), 0)).Kind).To(Equal(cactuspin.VerdictReset))
+}
--- a/steering.go
+++ b/steering.go
@@ -78,6 +78,9 @@
 const (
 	TargetReady TargetState = iota
 	TargetDraining
+	// TargetUnreadable is the state of a target whose registration another writer has
+	// replaced by one that cannot be used. The target may be alive.
+	TargetUnreadable
 )
 
 // RegisteredTarget is the registration of a target at the platform, written by the
@@ -105,6 +108,12 @@
 	Revision Revision `cbor:"2,keyasint"`
 }
 
+// UnreadableTarget is a target whose registration cannot be used.
+type UnreadableTarget struct {
+	ID       TargetID `cbor:"1,keyasint"`
+	Revision Revision `cbor:"2,keyasint"`
+}
+
 // Update brings a host's view of the store's content up to a revision. It is sent
 // by the store or by another host.
 type Update struct {
@@ -122,6 +131,9 @@
 	Routing    *Routing           `cbor:"6,keyasint,omitempty"`
 	Targets    []RegisteredTarget `cbor:"7,keyasint,omitempty"`
 	Removed    []RemovedTarget    `cbor:"8,keyasint,omitempty"`
+	// Unreadable lists registrations that cannot be used. Their targets, if there are
+	// any, may be alive.
+	Unreadable []UnreadableTarget `cbor:"11,keyasint,omitempty"`
 	// Hosts are the entry hosts that announced themselves.
 	Hosts []EntryHost `cbor:"9,keyasint,omitempty"`
 	// Reader is the host whose read of the store Age is based on.
@@ -184,8 +196,12 @@
 
 // String returns the form used in logs.
 func (s TargetState) String() string {
-	if s == TargetDraining {
+	switch s {
+	case TargetDraining:
 		return "draining"
+	case TargetUnreadable:
+		return "unreadable"
+	default:
+		return "ready"
 	}
-	return "ready"
 }
