--- a/internal/steering/balancer/balancer.go
+++ b/internal/steering/balancer/balancer.go
@@ -54,9 +54,12 @@
 	// unreadable holds the cookies of targets that may be alive, but whose address is not
 	// known because their registration cannot be used.
 	unreadable map[cactuspin.Cookie]bool
-	removed    []*target
-	active     activeSet
-	flows      flowTable
+	// unnamed holds registrations of services that the configuration does not name, under
+	// the IDs of targets of other services.
+	unnamed map[cactuspin.TargetID]cactuspin.RegisteredTarget
+	removed []*target
+	active  activeSet
+	flows   flowTable
 	// confirmed is the time at which the knowledge in use was last up to date,
 	// healthySince the time of the store's last recovery from a failure.
 	confirmed    atomic.Int64
@@ -95,6 +98,7 @@
 		byAddress:  addressIndex{},
 		byCookie:   cookieIndex{},
 		unreadable: map[cactuspin.Cookie]bool{},
+		unnamed:    map[cactuspin.TargetID]cactuspin.RegisteredTarget{},
 	}
 	b.flows.init(c.MaxFlows, c.Seed)
 	b.Reconfigure(c.StaleAfter)
@@ -122,6 +126,7 @@
 	}
 	for _, r := range c.Removed {
 		delete(b.unreadable, CookieOf(r.ID))
+		delete(b.unnamed, r.ID)
 		if t := b.targets[r.ID]; t != nil {
 			t.end(now, r.Hold)
 			b.removed = append(b.removed, t)
@@ -129,11 +134,11 @@
 		}
 	}
 	if c.Routing != nil {
-		b.setRouting(c.Routing)
+		b.setRouting(now, c.Routing)
 	}
 }
 
-func (b *Balancer) setRouting(r *cactuspin.Routing) {
+func (b *Balancer) setRouting(now cactuspin.Time, r *cactuspin.Routing) {
 	t := &routeTable{version: r.Version, idleTimeout: r.IdleTimeout, routes: make(map[endpoint]*route, len(r.Routes))}
 	old := b.routes.Load()
 	for i := range r.Routes {
@@ -145,11 +150,12 @@
 		t.routes[e] = x
 	}
 	b.routes.Store(t)
-	b.setNamedServices(r)
+	b.setNamedServices(now, r)
 }
 
-// setNamedServices marks the services that the configuration names.
-func (b *Balancer) setNamedServices(r *cactuspin.Routing) {
+// setNamedServices marks the services that the configuration names, and uses the
+// registrations that waited for that.
+func (b *Balancer) setNamedServices(now cactuspin.Time, r *cactuspin.Routing) {
 	b.namedServices = map[cactuspin.ServiceName]bool{}
 	for _, name := range r.Services {
 		b.namedServices[name] = true
@@ -162,10 +168,16 @@
 	for name, v := range b.services {
 		v.named = b.namedServices[name]
 	}
+	for _, x := range b.unnamed {
+		if b.namedServices[x.Service] {
+			b.setTarget(now, &x)
+		}
+	}
 }
 
 func (b *Balancer) setTarget(now cactuspin.Time, r *cactuspin.RegisteredTarget) {
 	delete(b.unreadable, CookieOf(r.ID))
+	delete(b.unnamed, r.ID)
 	t := b.targets[r.ID]
 	if t != nil && t.registered.Service == r.Service && t.registered.Zone == r.Zone {
 		if a := t.registered.Address; a != r.Address {
@@ -175,6 +187,12 @@
 		t.update(now, r)
 		return
 	}
+	if t != nil && !b.namedServices[r.Service] {
+		// The registration may be that of another writer, and t may be alive.
+		t.registered.State = cactuspin.TargetUnreadable
+		b.unnamed[r.ID] = *r
+		return
+	}
 	if t != nil {
 		t.end(now, 0)
 		b.removed = append(b.removed, t)
--- a/internal/steering/balancer/balancer_test.go
+++ b/internal/steering/balancer/balancer_test.go
@@ -597,3 +597,34 @@
 	b.Apply(now, &tracker.Change{Removed: []tracker.Removal{{RemovedTarget: cactuspin.RemovedTarget{ID: "desk-10", Revision: 60}}}})
 	g.Expect(b.Steer(now, data(2, feeds, balancer.CookieOf("desk-10"), 0)).Kind).To(Equal(cactuspin.VerdictReset))
 }
+
+// Guards against resets of the open flows of a living target whose registration another
+// writer has overwritten by one of a service that no configuration names.
+func TestARegistrationOfAnUnnamedServiceDoesNotEndItsTarget(t *testing.T) {
+	g := NewWithT(t)
+	b := newBalancer(1, "a")
+	v := b.Steer(now, syn(1, feeds, 0))
+	foreign := registered(int(v.TargetNumber), "desk", "a")
+	foreign.Service, foreign.Revision = "inventory", 50
+	b.Apply(now, &tracker.Change{Targets: []cactuspin.RegisteredTarget{foreign}})
+	g.Expect(b.Steer(now, data(1, feeds, v.Cookie, 0)).Kind).To(Equal(cactuspin.VerdictForward))
+	g.Expect(b.Steer(now, data(2, feeds, v.Cookie, 0)).Kind).To(Equal(cactuspin.VerdictForward), "opened through another host")
+	for port := range 20 {
+		g.Expect(b.Steer(now, syn(100+port, feeds, 0)).Target).NotTo(Equal(v.Target))
+	}
+	own := registered(int(v.TargetNumber), "desk", "a")
+	own.Revision = 51
+	b.Apply(now, &tracker.Change{Targets: []cactuspin.RegisteredTarget{own}})
+	placed := map[cactuspin.TargetID]int{}
+	for port := range 20 {
+		placed[b.Steer(now, syn(200+port, feeds, 0)).Target]++
+	}
+	g.Expect(placed).To(HaveKey(v.Target), "it has registered again")
+
+	foreign.Revision = 52
+	named := routing()
+	named.Version, named.Services = named.Version+1, append(named.Services, "inventory")
+	b.Apply(now, &tracker.Change{Targets: []cactuspin.RegisteredTarget{foreign}})
+	b.Apply(now, &tracker.Change{Routing: named})
+	g.Expect(b.Steer(now, data(3, feeds, v.Cookie, 0)).Reason).To(Equal(cactuspin.ReasonTargetGone), "it has started again in a service of the platform")
+}
