--- a/internal/knowledge/tracker/tracker.go
+++ b/internal/knowledge/tracker/tracker.go
@@ -5,6 +5,7 @@
 package tracker
 
 import (
+	"cmp"
 	"net/netip"
 	"sort"
 	"sync"
@@ -139,6 +140,7 @@
 	hold := max(0, reregistrationTimeout-now.Sub(tr.healthySince))
 	if u.Full && u.Revision >= tr.revision {
 		tr.removeUnlisted(u, hold, &c)
+		tr.lastChange = max(tr.lastChange, cmp.Or(u.LastChange, u.Revision))
 	}
 	for i := range u.Targets {
 		tr.mergeTarget(&u.Targets[i], &c)
@@ -328,7 +330,7 @@
 	u = cactuspin.Update{Revision: tr.revision, Age: tr.age(now), HealthyFor: max(0, now.Sub(tr.healthySince)), Reader: tr.reader}
 	u.Full = tr.needsFullUpdate(after)
 	if u.Full {
-		after = 0
+		after, u.LastChange = 0, tr.lastChange
 	}
 	u.After = after
 	if tr.routing != nil && tr.routing.Revision > after {
--- a/internal/knowledge/tracker/tracker_test.go
+++ b/internal/knowledge/tracker/tracker_test.go
@@ -183,3 +183,25 @@
 	u, _ = ended.UpdateSince(now, 0)
 	g.Expect(u.Unreadable).To(BeEmpty())
 }
+
+// Guards against hosts that keep a target whose removal they have missed: a host that has
+// just read everything announced the newest change that the read lists, and no read lists
+// a removal.
+func TestAFullReadDoesNotHideARemoval(t *testing.T) {
+	g := NewWithT(t)
+	reader, peer, told := tracker.New(), loaded(g), tracker.New()
+	reader.Merge(now, &cactuspin.Update{
+		Full: true, Revision: 20, Routing: routing(3, 4), Targets: []cactuspin.RegisteredTarget{target("b", 9, cactuspin.TargetDraining)},
+	})
+	u, _ := reader.UpdateSince(now, 0)
+	told.Merge(now, &u)
+	for _, tr := range []*tracker.Tracker{reader, told} {
+		p := tr.Position(now)
+		g.Expect(peer.Confirm(now, tracker.Confirmation{Revision: p.Revision, LastChange: p.LastChange})).To(BeFalse(), "target a was removed between 10 and 20")
+	}
+	reader.Confirm(now, tracker.Confirmation{Revision: 25, LastChange: 20})
+	u, _ = reader.UpdateSince(now, 0)
+	late := tracker.New()
+	late.Merge(now, &u)
+	g.Expect(late.Position(now).LastChange).To(Equal(cactuspin.Revision(20)), "nothing has changed since")
+}
--- a/steering.go
+++ b/steering.go
@@ -138,6 +138,9 @@
 	Hosts []EntryHost `cbor:"9,keyasint,omitempty"`
 	// Reader is the host whose read of the store Age is based on.
 	Reader netip.Addr `cbor:"10,keyasint"`
+	// LastChange is the revision of the last change that a full update may include; 0
+	// means Revision. It can be a removal, which the update does not list.
+	LastChange Revision `cbor:"12,keyasint,omitempty"`
 	// Next is the start of the next page of a read; empty after the last page.
 	Next Cursor `cbor:"-"`
 }
