--- a/internal/knowledge/tracker/tracker.go
+++ b/internal/knowledge/tracker/tracker.go
@@ -77,6 +77,9 @@
 	removed map[cactuspin.TargetID]cactuspin.Revision
 	// removedSince is the revision after which removed is complete.
 	removedSince cactuspin.Revision
+	// gap is the range of revisions whose changes a full read has skipped. Hosts that
+	// know a part of them may know targets that this one has never known.
+	gap revisionRange
 	// complete reports that a full update was merged.
 	complete bool
 }
@@ -228,9 +231,20 @@
 	}
 	if !tr.complete {
 		tr.removedSince = u.Revision
+	} else if u.Revision > tr.revision {
+		// One range is enough: hosts that are further behind get a full update.
+		tr.removedSince = max(tr.removedSince, tr.gap.to)
+		tr.gap = revisionRange{from: tr.revision, to: u.Revision}
 	}
 }
 
+// revisionRange is the range between two revisions, both excluded.
+type revisionRange struct{ from, to cactuspin.Revision }
+
+func (r revisionRange) contains(revision cactuspin.Revision) bool {
+	return revision > r.from && revision < r.to
+}
+
 func (tr *Tracker) mergeTarget(t *cactuspin.RegisteredTarget, c *Change) {
 	if old, ok := tr.targets[t.ID]; ok && old.Revision >= t.Revision {
 		return
@@ -315,7 +329,7 @@
 }
 
 func (tr *Tracker) needsFullUpdate(after cactuspin.Revision) bool {
-	return after == 0 || after < tr.removedSince
+	return after == 0 || after < tr.removedSince || tr.gap.contains(after)
 }
 
 // UpdateSince returns the changes since a revision, or a full update if not all
--- a/internal/knowledge/tracker/tracker_test.go
+++ b/internal/knowledge/tracker/tracker_test.go
@@ -205,3 +205,27 @@
 	late.Merge(now, &u)
 	g.Expect(late.Position(now).LastChange).To(Equal(cactuspin.Revision(20)), "nothing has changed since")
 }
+
+// Guards against hosts that keep a target which was registered and removed while the host
+// that they ask had lost the history: that host has never known the target.
+func TestAPeerThatKnowsMoreThanALostHistoryGetsAFullUpdate(t *testing.T) {
+	g := NewWithT(t)
+	reader, peer := loaded(g), loaded(g)
+	peer.Merge(now, &cactuspin.Update{After: 10, Revision: 12, Targets: []cactuspin.RegisteredTarget{target("c", 12, cactuspin.TargetReady)}})
+	listed := []cactuspin.RegisteredTarget{target("a", 8, cactuspin.TargetReady), target("b", 9, cactuspin.TargetDraining)}
+	reader.Merge(now, &cactuspin.Update{Full: true, Revision: 20, Routing: routing(3, 4), Targets: listed})
+	u, _ := reader.UpdateSince(now, 12)
+	c, ok := peer.Merge(now, &u)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(c.Removed).To(HaveLen(1), "target c was removed between 12 and 20")
+	for _, after := range []cactuspin.Revision{10, 20} {
+		u, _ = reader.UpdateSince(now, after)
+		g.Expect(u.Full).To(BeFalse(), "the reader has known all up to 10, and knows all up to 20")
+	}
+	reader.Merge(now, &cactuspin.Update{After: 20, Revision: 30})
+	reader.Merge(now, &cactuspin.Update{Full: true, Revision: 40, Routing: routing(3, 4), Targets: listed})
+	for after, full := range map[cactuspin.Revision]bool{12: true, 25: false, 30: false, 35: true, 40: false} {
+		u, _ = reader.UpdateSince(now, after)
+		g.Expect(u.Full).To(Equal(full), "up to date to %d", after)
+	}
+}
