--- a/internal/knowledge/encoder/encoder.go
+++ b/internal/knowledge/encoder/encoder.go
@@ -200,6 +200,21 @@
 	return nil
 }
 
+// maxUpdateElements limits the elements of a list in an update. The aim is 140,000
+// targets.
+const maxUpdateElements = 1 << 20
+
+// updateDecoding decodes fetched updates.
+var updateDecoding = newDecoding(cbor.DecOptions{MaxArrayElements: maxUpdateElements})
+
+func newDecoding(o cbor.DecOptions) cbor.DecMode {
+	m, err := o.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}
+
 // EncodeUpdate encodes the body of an update that a peer fetches.
 func EncodeUpdate(u *cactuspin.Update) (b []byte, err error) {
 	b, err = cbor.Marshal(u)
@@ -209,7 +224,7 @@
 // DecodeUpdate decodes the body of a fetched update.
 func DecodeUpdate(b []byte) (u cactuspin.Update, err error) {
 	defer func() { err = errors.Wrap(err, "decode update") }()
-	if err := cbor.Unmarshal(b, &u); err != nil {
+	if err := updateDecoding.Unmarshal(b, &u); err != nil {
 		return u, errors.WithStack(err)
 	}
 	return u, checkUpdate(&u)
--- a/internal/knowledge/encoder/encoder_test.go
+++ b/internal/knowledge/encoder/encoder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -127,3 +128,18 @@
 		_, _ = encoder.DecodeUpdate(b)
 	})
 }
+
+// Guards against fleets of the size that the system is built for whose hosts cannot fetch
+// updates: the decoder's own limit is 131,072 elements.
+func TestAnUpdateOfAllTargetsIsAccepted(t *testing.T) {
+	g := NewWithT(t)
+	u := cactuspin.Update{Full: true, Revision: 7, Targets: make([]cactuspin.RegisteredTarget, 140_000)}
+	for i := range u.Targets {
+		u.Targets[i] = cactuspin.RegisteredTarget{ID: cactuspin.TargetID(strconv.Itoa(i)), Service: "s", Zone: "z", Slots: 2, Address: netip.MustParseAddrPort("10.1.2.3:80")}
+	}
+	b, err := encoder.EncodeUpdate(&u)
+	g.Expect(err).NotTo(HaveOccurred())
+	decoded, err := encoder.DecodeUpdate(b)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(decoded.Targets).To(HaveLen(140_000))
+}
