--- a/internal/app/entry/entry.go
+++ b/internal/app/entry/entry.go
@@ -82,7 +82,7 @@
 // run serves until SIGTERM or SIGINT, and then performs a planned stop.
 func run(o *options, f *platform.SettingsFile, s *platform.Settings, signals signals, stdout io.Writer) int {
 	w := writer.New(stdout)
-	logger := slog.New(slog.NewTextHandler(w, &slog.HandlerOptions{Level: o.level}))
+	logger := newLogger(w, o.level)
 	logCtx, stopLogging := context.WithCancel(context.Background())
 	w.Start(logCtx)
 	err := serve(o, f, s, signals, logger, w)
--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	. "github.com/onsi/gomega"
 
 	"github.com/cactuspin/cactuspin"
@@ -204,3 +205,14 @@
 	g.Expect(Main([]string{"--settings", path}, &out, &errOut)).To(Equal(2))
 	g.Expect(errOut.String()).To(And(ContainSubstring("ip:"), ContainSubstring("platform.address")))
 }
+
+// Guards against log lines that hide the cause in a stack trace of twenty frames.
+func TestErrorsAreLoggedAsOneReadableLine(t *testing.T) {
+	g := NewWithT(t)
+	err := errors.Wrap(errors.New("connection refused"), "watch store")
+	var usual, debug strings.Builder
+	newLogger(&usual, slog.LevelInfo).Warn("store: lost", slog.Any("error", err), slog.Int("calls", 3))
+	g.Expect(usual.String()).To(HaveSuffix(`msg="store: lost" error="watch store: connection refused" calls=3` + "\n"))
+	newLogger(&debug, slog.LevelDebug).Warn("store: lost", slog.Any("error", err))
+	g.Expect(debug.String()).To(ContainSubstring("entry_test.go"), "the stack trace")
+}
