--- a/internal/steering/balancer/balancer_test.go
+++ b/internal/steering/balancer/balancer_test.go
@@ -103,6 +103,11 @@
 	g.Expect(followed.Kind).To(Equal(cactuspin.VerdictForward))
 	g.Expect(followed.Target).To(Equal(placed.Target))
 	g.Expect(restarted.Steer(now, syn(2, feeds, 0)).Target).To(Equal(cactuspin.TargetID("shelf-50")), "new flows go to the new service")
+	last := moveFeeds("shelf")
+	last.Routing.Version++
+	last.Routing.Services, last.Routing.Routes = []cactuspin.ServiceName{"shelf"}, last.Routing.Routes[:1]
+	restarted.Apply(now, last)
+	g.Expect(restarted.Steer(now, data(3, feeds, placed.Cookie, 0)).Target).To(Equal(placed.Target), "no configuration names its service any more")
 }
 
 // Guards against flows that open at the former service of a route after the route has
--- /dev/null
+++ b/internal/steering/balancer/knowledge.go
@@ -0,0 +1,103 @@
+package balancer
+
+import (
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/knowledge/tracker"
+)
+
+// Apply applies a change of the knowledge.
+func (b *Balancer) Apply(now cactuspin.Time, c *tracker.Change) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := range c.Targets {
+		b.setTarget(now, &c.Targets[i])
+	}
+	for _, id := range c.Unreadable {
+		b.unreadable[CookieOf(id)] = true
+	}
+	for _, r := range c.Removed {
+		delete(b.unreadable, CookieOf(r.ID))
+		delete(b.unnamed, r.ID)
+		if t := b.targets[r.ID]; t != nil {
+			t.end(now, r.Hold)
+			b.removed = append(b.removed, t)
+			delete(b.targets, r.ID)
+		}
+	}
+	if c.Routing != nil {
+		b.setRouting(now, c.Routing)
+	}
+}
+
+func (b *Balancer) setRouting(now cactuspin.Time, r *cactuspin.Routing) {
+	t := &routeTable{version: r.Version, idleTimeout: r.IdleTimeout, routes: make(map[endpoint]*route, len(r.Routes))}
+	old := b.routes.Load()
+	for i := range r.Routes {
+		e := endpointOf(r.Routes[i].Address)
+		x := &route{Route: &r.Routes[i], answers: &answerSizes{}, responseTimes: &responseTimes{}}
+		if old != nil && old.routes[e] != nil {
+			x.answers, x.responseTimes = old.routes[e].answers, old.routes[e].responseTimes
+		}
+		t.routes[e] = x
+	}
+	b.routes.Store(t)
+	b.setNamedServices(now, r)
+}
+
+// setNamedServices marks the services that the configuration names, and uses the
+// registrations that waited for that.
+func (b *Balancer) setNamedServices(now cactuspin.Time, r *cactuspin.Routing) {
+	b.namedServices = map[cactuspin.ServiceName]bool{}
+	for _, name := range r.Services {
+		b.namedServices[name] = true
+	}
+	for i := range r.Routes {
+		for _, w := range r.Routes[i].Services {
+			b.namedServices[w.Service] = true
+		}
+	}
+	for name, v := range b.services {
+		v.named = b.namedServices[name]
+	}
+	for _, x := range b.unnamed {
+		if b.namedServices[x.Service] {
+			b.setTarget(now, &x)
+		}
+	}
+}
+
+func (b *Balancer) setTarget(now cactuspin.Time, r *cactuspin.RegisteredTarget) {
+	delete(b.unreadable, CookieOf(r.ID))
+	delete(b.unnamed, r.ID)
+	t := b.targets[r.ID]
+	if t != nil && t.registered.Service == r.Service && t.registered.Zone == r.Zone {
+		if a := t.registered.Address; a != r.Address {
+			b.byAddress.remove(t, a)
+			defer b.byAddress.add(t)
+		}
+		t.update(now, r)
+		return
+	}
+	if t != nil && t.registered.Service != r.Service && !b.namedServices[r.Service] {
+		// The registration may be that of another writer, and t may be alive.
+		t.registered.State = cactuspin.TargetUnreadable
+		b.unnamed[r.ID] = *r
+		return
+	}
+	if t != nil {
+		t.end(now, 0)
+		b.removed = append(b.removed, t)
+	}
+	v := b.services[r.Service]
+	if v == nil {
+		v = &service{name: r.Service, named: b.namedServices[r.Service]}
+		b.services[r.Service] = v
+	}
+	t = newTarget(now, r, v)
+	if old := b.byCookie.add(t); old != nil {
+		old.zone.remove(old)
+	}
+	t.zone.targets = append(t.zone.targets, t)
+	b.byAddress.add(t)
+	b.targets[r.ID] = t
+}
