--- a/internal/standin/netemulator/target.go
+++ b/internal/standin/netemulator/target.go
@@ -43,9 +43,11 @@
 	mu         sync.Mutex
 	flows      map[netip.AddrPort]*targetFlow
 	state      string
-	reports    int
-	requests   int
-	down       bool
+	// started is when the target last started.
+	started  time.Time
+	reports  int
+	requests int
+	down     bool
 	// drainingSince is when the target reported draining.
 	drainingSince time.Time
 }
@@ -55,7 +57,7 @@
 	defer func() { err = errors.Wrap(err, "new target") }()
 	t = &Target{
 		id: fmt.Sprintf("i-%08x", number), number: number, service: service, zone: zone, address: address,
-		store: store, oracle: oracle, callerPort: callerPort, flows: map[netip.AddrPort]*targetFlow{}, state: "ready",
+		store: store, oracle: oracle, callerPort: callerPort, flows: map[netip.AddrPort]*targetFlow{}, state: "ready", started: time.Now(),
 	}
 	if t.socket, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(address)); err != nil {
 		return nil, errors.WithStack(err)
@@ -70,15 +72,19 @@
 
 func (t *Target) register() {
 	t.reports++
-	b, err := json.Marshal(map[string]any{
-		"service": t.service, "address": t.address.String(), "zone": t.zone, "version": "v1", "slots": 3,
-		"state": t.state, "warmup_left_ms": 0, "seq_no": t.reports, "born": time.Now().UnixMilli(),
-	})
+	b, err := json.Marshal(t.registration())
 	if err == nil {
 		t.store.Put("servers/"+t.id, b)
 	}
 }
 
+func (t *Target) registration() map[string]any {
+	return map[string]any{
+		"service": t.service, "address": t.address.String(), "zone": t.zone, "version": "v1", "slots": 3,
+		"state": t.state, "warmup_left_ms": 0, "seq_no": t.reports, "born": t.started.UnixMilli(),
+	}
+}
+
 // run handles packets until the context ends.
 func (t *Target) run(ctx context.Context) {
 	context.AfterFunc(ctx, t.close)
@@ -234,7 +240,7 @@
 	if err != nil {
 		return
 	}
-	t.probeListener, t.down = l, false
+	t.probeListener, t.down, t.started = l, false, time.Now()
 	context.AfterFunc(ctx, func() { _ = l.Close() })
 	go acceptProbes(l)
 	t.register()
