--- /dev/null
+++ b/internal/knowledge/tracker/model_test.go
@@ -0,0 +1,294 @@
+package tracker_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/knowledge/tracker"
+)
+
+// The model check plays a store, writers and hosts in all orders up to a depth, and in
+// random orders beyond. After each step, each host must know what the store held at the
+// revision up to which the host says that its knowledge is complete, or something newer.
+
+const (
+	modelHosts = 2
+	// exhaustiveDepth is the number of steps of which all orders are played.
+	exhaustiveDepth = 4
+	walks, walkLen  = 6000, 60
+)
+
+// kind is what an entry of the store holds.
+type kind int
+
+const (
+	kindRemoved kind = iota
+	kindReady
+	kindUnreadable
+)
+
+// entry is an entry with the revision of its last change.
+type entry struct {
+	kind     kind
+	revision cactuspin.Revision
+}
+
+// modelStore is the store with all its changes.
+type modelStore struct {
+	revision, compacted cactuspin.Revision
+	entries             map[cactuspin.TargetID]entry
+	version             cactuspin.RoutingVersion
+	versionRevision     cactuspin.Revision
+}
+
+func (s *modelStore) put(id cactuspin.TargetID, k kind) {
+	if k == kindRemoved && s.entries[id].kind == kindRemoved {
+		return
+	}
+	s.revision++
+	s.entries[id] = entry{kind: k, revision: s.revision}
+}
+
+// changes returns an update with the entries that changed after a revision and whose IDs
+// lie between first and last.
+func (s *modelStore) changes(after cactuspin.Revision, first, last cactuspin.TargetID) *cactuspin.Update {
+	u := &cactuspin.Update{After: after, Revision: s.revision, Full: after == 0, HealthyFor: 1 << 40}
+	if s.versionRevision > after {
+		u.Routing = &cactuspin.Routing{Version: s.version, Revision: s.versionRevision}
+	}
+	for id, e := range s.entries {
+		switch {
+		case e.revision <= after || id < first || id > last:
+		case e.kind == kindReady:
+			u.Targets = append(u.Targets, cactuspin.RegisteredTarget{ID: id, Revision: e.revision})
+		case e.kind == kindUnreadable:
+			u.Unreadable = append(u.Unreadable, cactuspin.UnreadableTarget{ID: id, Revision: e.revision})
+		case after > 0:
+			u.Removed = append(u.Removed, cactuspin.RemovedTarget{ID: id, Revision: e.revision})
+		}
+	}
+	return u
+}
+
+// modelHost is a host with the version that it had in force in this life.
+type modelHost struct {
+	tracker *tracker.Tracker
+	version cactuspin.RoutingVersion
+	// read is the first page of a read in progress, or nil.
+	read *cactuspin.Update
+}
+
+// model is the state of a run.
+type model struct {
+	store *modelStore
+	hosts [modelHosts]modelHost
+	// pushed holds the updates that hosts have sent to the other one.
+	pushed [modelHosts][]*cactuspin.Update
+}
+
+func newModel() *model {
+	m := &model{store: &modelStore{entries: map[cactuspin.TargetID]entry{}, version: 1, versionRevision: 1, revision: 1}}
+	for n := range m.hosts {
+		m.hosts[n].tracker = tracker.New()
+	}
+	return m
+}
+
+// step is a step of the model, with its name for reports.
+type step struct {
+	name string
+	run  func(m *model)
+}
+
+func modelSteps() (steps []step) {
+	add := func(name string, run func(m *model)) { steps = append(steps, step{name, run}) }
+	for _, id := range []cactuspin.TargetID{"a", "b"} {
+		for k, name := range map[kind]string{kindRemoved: "remove", kindReady: "register", kindUnreadable: "overwrite"} {
+			add(name+" "+string(id), func(m *model) { m.store.put(id, k) })
+		}
+	}
+	add("configure", func(m *model) {
+		m.store.revision++
+		m.store.version, m.store.versionRevision = m.store.version+1, m.store.revision
+	})
+	add("forget", func(m *model) { m.store.compacted = m.store.revision })
+	for n := range modelHosts {
+		add(fmt.Sprintf("first page %d", n), func(m *model) { m.hosts[n].read = m.store.changes(0, "", "a") })
+		add(fmt.Sprintf("last page %d", n), func(m *model) { m.readLast(n) })
+		add(fmt.Sprintf("watch %d", n), func(m *model) { m.watch(n) })
+		add(fmt.Sprintf("beacon from %d", n), func(m *model) { m.beacon(n) })
+		add(fmt.Sprintf("oldest push to %d", n), func(m *model) { m.deliver(n, 0) })
+		add(fmt.Sprintf("newest push to %d", n), func(m *model) { m.deliver(n, len(m.pushed[n])-1) })
+		add(fmt.Sprintf("restart %d", n), func(m *model) { m.hosts[n] = modelHost{tracker: tracker.New()} })
+	}
+	slices.SortFunc(steps, func(a, b step) int { return strings.Compare(a.name, b.name) })
+	return steps
+}
+
+func (m *model) readLast(n int) {
+	first := m.hosts[n].read
+	if first == nil {
+		return
+	}
+	m.hosts[n].read = nil
+	last := m.store.changes(0, "b", "z")
+	first.Targets, first.Unreadable = append(first.Targets, last.Targets...), append(first.Unreadable, last.Unreadable...)
+	m.hosts[n].tracker.Merge(now, first)
+}
+
+// watch reads the changes and pushes them to the other host.
+func (m *model) watch(n int) {
+	p := m.hosts[n].tracker.Position(now)
+	if !p.Complete || p.Revision < m.store.compacted || p.Revision == m.store.revision {
+		return
+	}
+	u := m.store.changes(p.Revision, "", "z")
+	m.hosts[n].tracker.Merge(now, u)
+	m.pushed[1-n] = append(m.pushed[1-n], u)
+}
+
+// beacon confirms the knowledge of the other host, or lets it fetch what it misses.
+func (m *model) beacon(n int) {
+	p := m.hosts[n].tracker.Position(now)
+	if p.Complete && !m.hosts[1-n].tracker.Confirm(now, tracker.Confirmation{Revision: p.Revision, LastChange: p.LastChange}) {
+		m.fetch(1-n, n)
+	}
+}
+
+func (m *model) fetch(to, from int) {
+	if u, ok := m.hosts[from].tracker.UpdateSince(now, m.hosts[to].tracker.Position(now).Revision); ok {
+		m.hosts[to].tracker.Merge(now, &u)
+	}
+}
+
+// deliver delivers a pushed update. It stays, so that it may come again; others that never
+// come are lost.
+func (m *model) deliver(n, index int) {
+	if index < 0 || index >= len(m.pushed[n]) {
+		return
+	}
+	u := *m.pushed[n][index]
+	if _, ok := m.hosts[n].tracker.Merge(now, &u); !ok {
+		m.fetch(n, 1-n)
+	}
+}
+
+// violation returns what a host should not know, or "".
+func (m *model) violation() string {
+	for n := range m.hosts {
+		h := &m.hosts[n]
+		p := h.tracker.Position(now)
+		if p.RoutingVersion < h.version {
+			return fmt.Sprintf("host %d goes from version %d back to %d", n, h.version, p.RoutingVersion)
+		}
+		h.version = p.RoutingVersion
+		if m.store.versionRevision <= p.Revision && p.Complete && p.RoutingVersion != m.store.version {
+			return fmt.Sprintf("host %d is at revision %d with version %d instead of %d", n, p.Revision, p.RoutingVersion, m.store.version)
+		}
+		u, ok := h.tracker.UpdateSince(now, 0)
+		if !ok {
+			continue
+		}
+		if v := m.wrongEntry(&u); v != "" {
+			return fmt.Sprintf("host %d at revision %d: %s", n, p.Revision, v)
+		}
+	}
+	return ""
+}
+
+// wrongEntry compares what a host knows with the entries that have not changed after its
+// revision.
+func (m *model) wrongEntry(u *cactuspin.Update) string {
+	known := map[cactuspin.TargetID]entry{}
+	for _, t := range u.Targets {
+		known[t.ID] = entry{kindReady, t.Revision}
+		if t.State == cactuspin.TargetUnreadable {
+			known[t.ID] = entry{kindUnreadable, t.Revision}
+		}
+	}
+	for _, x := range u.Unreadable {
+		if _, ok := known[x.ID]; ok {
+			return fmt.Sprintf("%s is known twice", x.ID)
+		}
+		known[x.ID] = entry{kindUnreadable, x.Revision}
+	}
+	for id, stored := range m.store.entries {
+		k := known[id]
+		switch {
+		case k.revision > stored.revision:
+			return fmt.Sprintf("%s has revision %d, the store %d", id, k.revision, stored.revision)
+		case stored.revision > u.Revision:
+		case stored.kind == kindRemoved && k.kind != kindRemoved:
+			return fmt.Sprintf("%s is known at %d but was removed at %d", id, k.revision, stored.revision)
+		case stored.kind != kindRemoved && k != stored:
+			return fmt.Sprintf("%s is %v instead of %v", id, k, stored)
+		}
+	}
+	return ""
+}
+
+// starts are the steps that lead to the states from which all orders are played.
+var starts = map[string][]string{
+	"nothing known": nil,
+	"both up to date": {
+		"register a", "register b", "first page 0", "last page 0", "beacon from 0",
+	},
+	"one behind a lost history": {
+		"register a", "first page 0", "last page 0", "beacon from 0", "register b", "watch 1", "remove b", "forget",
+	},
+}
+
+func play(t *testing.T, steps []step, order []int, start []string) {
+	t.Helper()
+	m := newModel()
+	names := slices.Clone(start)
+	for _, name := range start {
+		i := slices.IndexFunc(steps, func(s step) bool { return s.name == name })
+		steps[i].run(m)
+	}
+	for _, i := range order {
+		steps[i].run(m)
+		names = append(names, steps[i].name)
+		if v := m.violation(); v != "" {
+			t.Fatalf("%s, after: %s", v, strings.Join(names, "; "))
+		}
+	}
+}
+
+func TestAllOrdersOfStepsKeepKnowledgeSound(t *testing.T) {
+	steps := modelSteps()
+	orders := 1
+	for range exhaustiveDepth {
+		orders *= len(steps)
+	}
+	for name, start := range starts {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			order := make([]int, exhaustiveDepth)
+			for n := range orders {
+				for i := range order {
+					order[i] = n % len(steps)
+					n /= len(steps)
+				}
+				play(t, steps, order, start)
+			}
+			t.Logf("%d orders of %d steps, %d kinds of steps", orders, exhaustiveDepth, len(steps))
+		})
+	}
+}
+
+func TestRandomOrdersOfStepsKeepKnowledgeSound(t *testing.T) {
+	steps := modelSteps()
+	random := rand.New(rand.NewPCG(1, 2))
+	order := make([]int, walkLen)
+	for range walks {
+		for i := range order {
+			order[i] = random.IntN(len(steps))
+		}
+		play(t, steps, order, nil)
+	}
+}
--- a/internal/knowledge/tracker/tracker.go
+++ b/internal/knowledge/tracker/tracker.go
@@ -245,17 +245,25 @@
 	return revision > r.from && revision < r.to
 }
 
+// superseded reports whether a change at a revision is included in the knowledge, if only
+// as a later change of the same entry. Such a change can arrive late.
+func (tr *Tracker) superseded(revision cactuspin.Revision) bool {
+	return tr.complete && revision <= tr.revision
+}
+
 func (tr *Tracker) mergeTarget(t *cactuspin.RegisteredTarget, c *Change) {
 	if old, ok := tr.targets[t.ID]; ok && old.Revision >= t.Revision {
 		return
 	}
-	if tr.removed[t.ID] >= t.Revision {
+	unreadable := tr.unreadable[t.ID]
+	// An older registration of a target whose present one is unreadable tells its address.
+	if tr.superseded(t.Revision) && unreadable == 0 {
 		return
 	}
 	delete(tr.removed, t.ID)
 	merged := *t
-	if revision := tr.unreadable[t.ID]; revision > t.Revision {
-		merged.State, merged.Revision = cactuspin.TargetUnreadable, revision
+	if unreadable > t.Revision {
+		merged.State, merged.Revision = cactuspin.TargetUnreadable, unreadable
 	}
 	delete(tr.unreadable, t.ID)
 	tr.recordTarget(merged, c)
@@ -270,7 +278,7 @@
 // mergeUnreadable merges a registration that cannot be used. Whether its target is alive
 // is open, so that what is known of the target is kept for its open flows.
 func (tr *Tracker) mergeUnreadable(x cactuspin.UnreadableTarget, c *Change) {
-	if tr.removed[x.ID] >= x.Revision {
+	if tr.superseded(x.Revision) {
 		return
 	}
 	if t, ok := tr.targets[x.ID]; ok {
--- a/internal/knowledge/tracker/tracker_test.go
+++ b/internal/knowledge/tracker/tracker_test.go
@@ -229,3 +229,21 @@
 		g.Expect(u.Full).To(Equal(full), "up to date to %d", after)
 	}
 }
+
+// Guards against targets that are used again after their removal: a pushed registration
+// that arrives after a read of the whole store is older than what the read shows.
+func TestALateRegistrationIsNotUsedAfterAFullRead(t *testing.T) {
+	g := NewWithT(t)
+	tr := loaded(g)
+	tr.Merge(now, &cactuspin.Update{
+		Full: true, Revision: 20, Routing: routing(3, 4),
+		Targets: []cactuspin.RegisteredTarget{target("a", 8, cactuspin.TargetReady), target("b", 9, cactuspin.TargetDraining)},
+	})
+	late := &cactuspin.Update{After: 10, Revision: 12, Targets: []cactuspin.RegisteredTarget{target("c", 12, cactuspin.TargetReady)}}
+	c, ok := tr.Merge(now, late)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(c.Empty()).To(BeTrue(), "target c was removed between 12 and 20")
+	late.Targets, late.Unreadable = nil, unreadable("c", 12)
+	c, _ = tr.Merge(now, late)
+	g.Expect(c.Empty()).To(BeTrue())
+}
