--- a/internal/entry/engine/engine_test.go
+++ b/internal/entry/engine/engine_test.go
@@ -162,6 +162,20 @@
 	g.Expect(e.Status(now).Revision).To(Equal(cactuspin.Revision(15)))
 }
 
+// Guards against whole updates that hosts with fresh knowledge fetch from each host that
+// has just started: that host cannot tell whether anything has changed.
+func TestAHostThatHasJustReadIsAskedOnlyByHostsWithOldKnowledge(t *testing.T) {
+	g := NewWithT(t)
+	e, _ := loaded(g)
+	b := &encoder.Beacon{Host: other, Incarnation: 5, Complete: true, Revision: 15, LastChange: 15, LastChangeUnknown: true}
+	var out engine.Actions
+	e.Datagram(now, other.Address, &encoder.Datagram{Beacon: b}, &out)
+	g.Expect(out.Fetch).To(BeNil())
+	g.Expect(e.Status(now).Revision).To(Equal(cactuspin.Revision(10)), "nothing is confirmed")
+	e.Datagram(now.Add(maxStaleness/2), other.Address, &encoder.Datagram{Beacon: b}, &out)
+	g.Expect(out.Fetch).NotTo(BeNil())
+}
+
 func TestNewHostGetsAReply(t *testing.T) {
 	g := NewWithT(t)
 	e, _ := loaded(g)
--- a/internal/entry/engine/peers.go
+++ b/internal/entry/engine/peers.go
@@ -34,15 +34,16 @@
 func (e *Engine) beacon(now cactuspin.Time) encoder.Beacon {
 	p := e.tracker.Position(now)
 	return encoder.Beacon{
-		Host:        e.c.Self,
-		Incarnation: e.c.Incarnation,
-		Revision:    p.Revision,
-		LastChange:  p.LastChange,
-		Age:         p.Age,
-		HealthyFor:  p.HealthyFor,
-		Reader:      p.Reader,
-		Complete:    p.Complete,
-		Leaving:     e.leaving,
+		Host:              e.c.Self,
+		Incarnation:       e.c.Incarnation,
+		Revision:          p.Revision,
+		LastChange:        p.LastChange,
+		LastChangeUnknown: p.LastChangeUnknown,
+		Age:               p.Age,
+		HealthyFor:        p.HealthyFor,
+		Reader:            p.Reader,
+		Complete:          p.Complete,
+		Leaving:           e.leaving,
 	}
 }
 
@@ -76,7 +77,11 @@
 	}
 	confirmation := tracker.Confirmation{Revision: b.Revision, LastChange: b.LastChange, Age: b.Age, HealthyFor: b.HealthyFor, Reader: b.Reader}
 	if !e.tracker.Confirm(now, confirmation) {
-		e.fetch(now, b.Host.Address, out)
+		// A host that has just read everything cannot tell whether anything has changed.
+		// While the knowledge is fresh, another host reads and will tell.
+		if !b.LastChangeUnknown || e.tracker.Position(now).Age > e.c.maxAge() {
+			e.fetch(now, b.Host.Address, out)
+		}
 		return
 	}
 	e.balancer.SetFreshness(now, e.tracker.Position(now))
--- a/internal/knowledge/encoder/encoder.go
+++ b/internal/knowledge/encoder/encoder.go
@@ -121,6 +121,8 @@
 	Down DownTargets `cbor:"12,keyasint,omitempty"`
 	// Reader is the host whose read of the store Age is based on.
 	Reader netip.Addr `cbor:"13,keyasint"`
+	// LastChangeUnknown reports that the last change may have been before LastChange.
+	LastChangeUnknown bool `cbor:"14,keyasint,omitempty"`
 }
 
 // Datagram is a datagram between hosts; exactly one field is set.
--- a/internal/knowledge/tracker/tracker.go
+++ b/internal/knowledge/tracker/tracker.go
@@ -5,7 +5,6 @@
 package tracker
 
 import (
-	"cmp"
 	"net/netip"
 	"sort"
 	"sync"
@@ -58,8 +57,11 @@
 	mu sync.Mutex
 	// revision is the revision up to which the knowledge is complete.
 	revision cactuspin.Revision
-	// lastChange is the revision of the last known change.
+	// lastChange is the revision after which nothing has changed up to revision.
 	lastChange cactuspin.Revision
+	// readAt is the revision of the last read that skipped changes. While it is
+	// lastChange, the last change may have been at any revision before.
+	readAt cactuspin.Revision
 	// confirmedAt is the last time at which revision was known to be the
 	// newest.
 	confirmedAt cactuspin.Time
@@ -95,12 +97,14 @@
 
 // Position is the extent and the age of a host's knowledge.
 type Position struct {
-	Revision       cactuspin.Revision
-	LastChange     cactuspin.Revision
-	Age            time.Duration
-	HealthyFor     time.Duration
-	RoutingVersion cactuspin.RoutingVersion
-	Targets        int
+	Revision   cactuspin.Revision
+	LastChange cactuspin.Revision
+	// LastChangeUnknown reports that the last change may have been before LastChange.
+	LastChangeUnknown bool
+	Age               time.Duration
+	HealthyFor        time.Duration
+	RoutingVersion    cactuspin.RoutingVersion
+	Targets           int
 	// Reader is the host whose read of the store Age is based on.
 	Reader netip.Addr
 	// Complete reports that a full update was merged, Loaded that routes are
@@ -113,6 +117,7 @@
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	p := Position{Revision: tr.revision, LastChange: tr.lastChange, Age: tr.age(now), Complete: tr.complete, Loaded: tr.loaded(), Targets: len(tr.targets), Reader: tr.reader}
+	p.LastChangeUnknown = tr.lastChangeUnknown()
 	p.HealthyFor = max(0, now.Sub(tr.healthySince))
 	if tr.routing != nil {
 		p.RoutingVersion = tr.routing.Version
@@ -120,6 +125,9 @@
 	return p
 }
 
+// lastChangeUnknown reports whether only a bound of the last change is known.
+func (tr *Tracker) lastChangeUnknown() bool { return tr.readAt != 0 && tr.lastChange == tr.readAt }
+
 // loaded reports whether the knowledge is complete and contains routes.
 func (tr *Tracker) loaded() bool { return tr.complete && tr.routing != nil }
 
@@ -143,7 +151,7 @@
 	hold := max(0, reregistrationTimeout-now.Sub(tr.healthySince))
 	if u.Full && u.Revision >= tr.revision {
 		tr.removeUnlisted(u, hold, &c)
-		tr.lastChange = max(tr.lastChange, cmp.Or(u.LastChange, u.Revision))
+		tr.setLastChange(u)
 	}
 	for i := range u.Targets {
 		tr.mergeTarget(&u.Targets[i], &c)
@@ -163,6 +171,18 @@
 	return c, true
 }
 
+// setLastChange derives the last change from a full update, which does not list removals.
+func (tr *Tracker) setLastChange(u *cactuspin.Update) {
+	switch {
+	case u.LastChange != 0 && tr.complete && u.LastChange <= tr.revision:
+		tr.lastChange = min(tr.lastChange, u.LastChange)
+	case u.LastChange != 0:
+		tr.lastChange = u.LastChange
+	case !tr.complete || u.Revision > tr.revision:
+		tr.lastChange, tr.readAt = u.Revision, u.Revision
+	}
+}
+
 // Confirmation says that a revision was the newest one some time ago.
 type Confirmation struct {
 	// Revision is the confirmed revision, LastChange that of the last change up to it.
@@ -181,6 +201,9 @@
 		return false
 	}
 	tr.healthySince = max(tr.healthySince, now.Add(-c.HealthyFor))
+	if c.Revision >= tr.revision {
+		tr.lastChange = min(tr.lastChange, c.LastChange)
+	}
 	tr.confirm(now, c.Revision, c.Age, c.Reader)
 	return true
 }
@@ -352,7 +375,10 @@
 	u = cactuspin.Update{Revision: tr.revision, Age: tr.age(now), HealthyFor: max(0, now.Sub(tr.healthySince)), Reader: tr.reader}
 	u.Full = tr.needsFullUpdate(after)
 	if u.Full {
-		after, u.LastChange = 0, tr.lastChange
+		after = 0
+		if !tr.lastChangeUnknown() {
+			u.LastChange = tr.lastChange
+		}
 	}
 	u.After = after
 	if tr.routing != nil && tr.routing.Revision > after {
