--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -60,6 +60,16 @@
 	return nil
 }
 
+// pid returns the ID of the running process, or 0.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.command == nil {
+		return 0
+	}
+	return p.command.Process.Pid
+}
+
 // signal sends a signal to the process if it is running.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
