--- a/test/soak/memory_test.go
+++ b/test/soak/memory_test.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -61,10 +60,7 @@
 // before they were decoded, up to a length at which they failed.
 func TestAHostReadsLongEntriesInLittleMemory(t *testing.T) {
 	directory := t.TempDir()
-	program := filepath.Join(directory, "cactuspin-entry")
-	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/cactuspin-entry").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	program := buildHost(t, directory)
 	if err := os.WriteFile(filepath.Join(directory, "host-1.yaml"), []byte(hostSettings), 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/test/soak/process_test.go
+++ b/test/soak/process_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"sync"
 	"syscall"
+	"testing"
 	"time"
 )
 
@@ -22,6 +23,16 @@
 	unexpectedExits      []string
 }
 
+// buildHost builds the host program in a directory and returns its path.
+func buildHost(t *testing.T, directory string) (program string) {
+	t.Helper()
+	program = filepath.Join(directory, "cactuspin-entry")
+	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/cactuspin-entry").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return program
+}
+
 func newProcess(program, directory string, n int) *process {
 	return &process{
 		program: program, settings: filepath.Join(directory, fmt.Sprintf("host-%d.yaml", n)),
--- a/test/soak/signal_test.go
+++ b/test/soak/signal_test.go
@@ -14,10 +14,7 @@
 // terminated by the signal (soak seed 123).
 func TestASettingsSignalDuringTheStartIsHarmless(t *testing.T) {
 	directory := t.TempDir()
-	program, settings := filepath.Join(directory, "cactuspin-entry"), filepath.Join(directory, "settings")
-	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/cactuspin-entry").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	program, settings := buildHost(t, directory), filepath.Join(directory, "settings")
 	if err := syscall.Mkfifo(settings, 0o600); err != nil {
 		t.Fatal(err)
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -11,8 +11,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -77,10 +75,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	program := filepath.Join(directory, "cactuspin-entry")
-	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/cactuspin-entry").CombinedOutput(); err != nil {
-		t.Fatalf("build: %v\n%s", err, out)
-	}
+	program := buildHost(t, directory)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s := &soak{t: t, random: rand.New(rand.NewPCG(uint64(seed), 3)), planned: planned}
