--- a/internal/knowledge/tracker/model_test.go
+++ b/internal/knowledge/tracker/model_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -17,11 +19,22 @@
 
 const (
 	modelHosts = 2
-	// exhaustiveDepth is the number of steps of which all orders are played.
-	exhaustiveDepth = 4
-	walks, walkLen  = 6000, 60
+	// defaultDepth is the number of steps of which all orders are played; MODEL_DEPTH
+	// replaces it.
+	defaultDepth = 4
+	// defaultWalks is the number of random orders, each of walkLength steps; MODEL_WALKS
+	// replaces it.
+	defaultWalks, walkLength = 6000, 60
 )
 
+// fromEnvironment returns the number in an environment variable, or a default.
+func fromEnvironment(name string, fallback int) int {
+	if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return n
+	}
+	return fallback
+}
+
 // kind is what an entry of the store holds.
 type kind int
 
@@ -260,15 +273,15 @@
 }
 
 func TestAllOrdersOfStepsKeepKnowledgeSound(t *testing.T) {
-	steps := modelSteps()
+	steps, depth := modelSteps(), fromEnvironment("MODEL_DEPTH", defaultDepth)
 	orders := 1
-	for range exhaustiveDepth {
+	for range depth {
 		orders *= len(steps)
 	}
 	for name, start := range starts {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			order := make([]int, exhaustiveDepth)
+			order := make([]int, depth)
 			for n := range orders {
 				for i := range order {
 					order[i] = n % len(steps)
@@ -276,7 +289,7 @@
 				}
 				play(t, steps, order, start)
 			}
-			t.Logf("%d orders of %d steps, %d kinds of steps", orders, exhaustiveDepth, len(steps))
+			t.Logf("%d orders of %d steps, %d kinds of steps", orders, depth, len(steps))
 		})
 	}
 }
@@ -284,8 +297,8 @@
 func TestRandomOrdersOfStepsKeepKnowledgeSound(t *testing.T) {
 	steps := modelSteps()
 	random := rand.New(rand.NewPCG(1, 2))
-	order := make([]int, walkLen)
-	for range walks {
+	order := make([]int, walkLength)
+	for range fromEnvironment("MODEL_WALKS", defaultWalks) {
 		for i := range order {
 			order[i] = random.IntN(len(steps))
 		}
