--- a/internal/entry/storeclient/storeclient.go
+++ b/internal/entry/storeclient/storeclient.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// callTimeout limits a call that does not wait for changes; the store responds to
-	// it within milliseconds.
+	// callTimeout limits a call that announces the host; the store responds to it within
+	// milliseconds.
 	callTimeout = time.Second
 	// leaseDuration is how long an announcement remains after its host has stopped.
 	// It is long, since starting hosts use announcements only as hints for peers.
@@ -77,8 +77,6 @@
 	if !request.FullRead {
 		return c.stores.Load().calls.Watch(ctx, request.After, request.Wait)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	return c.stores.Load().calls.Read(ctx, request.From)
 }
 
--- a/steering.go
+++ b/steering.go
@@ -167,7 +167,7 @@
 type Store interface {
 	// Read returns a page of all registrations and the routing. The pages are read
 	// at different times, so a read of all pages is only complete up to the revision
-	// of the first.
+	// of the first. It ends by itself if the store stops answering.
 	Read(ctx context.Context, from Cursor) (Update, error)
 	// Watch returns the changes after a revision; it waits for one for at most wait.
 	Watch(ctx context.Context, after Revision, wait time.Duration) (Update, error)
