Keep new flows out of evacuated zones

The states of zones are part of the knowledge of all hosts, ordered by revision like routes and targets. Targets of an evacuated zone are not usable for new flows; its load is spread at random by free slots. The bound of evacuations limits the age of knowledge where the settings have one.

--- a/entrystatus.go
+++ b/entrystatus.go
@@ -11,8 +11,10 @@
 	KnowledgeAge float64  `json:"knowledge_age_s"`
 	Targets      int      `json:"targets"`
 	TargetsDown  []string `json:"targets_down,omitempty"`
-	Flows        int      `json:"flows"`
-	Peers        int      `json:"peers"`
+	// EvacuatedZones are the zones whose targets get no new flows.
+	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
+	Flows          int      `json:"flows"`
+	Peers          int      `json:"peers"`
 	// ReadsStore reports that the host reads the store now, Reader which host's read
 	// the age of its knowledge is based on.
 	ReadsStore      bool              `json:"reads_store"`
--- a/internal/app/entry/admin.go
+++ b/internal/app/entry/admin.go
@@ -41,6 +41,9 @@
 	for _, id := range s.Down {
 		report.TargetsDown = append(report.TargetsDown, string(id))
 	}
+	for _, z := range s.Evacuated {
+		report.EvacuatedZones = append(report.EvacuatedZones, string(z))
+	}
 	for r, n := range s.Verdicts {
 		if n > 0 {
 			report.PacketsByReason[r.String()] = n
--- a/internal/app/entry/reload.go
+++ b/internal/app/entry/reload.go
@@ -26,7 +26,11 @@
 // dynamicConfig returns the part of the engine's configuration that can change
 // while it runs.
 func dynamicConfig(s *platform.Settings) engine.DynamicConfig {
-	return engine.DynamicConfig{Seeds: s.Seeds, MaxStaleness: min(s.MaxApplyDelay, s.MaxDrainDelay)}
+	staleness := min(s.MaxApplyDelay, s.MaxDrainDelay)
+	if s.MaxEvacuationDelay > 0 {
+		staleness = min(staleness, s.MaxEvacuationDelay)
+	}
+	return engine.DynamicConfig{Seeds: s.Seeds, MaxStaleness: staleness}
 }
 
 func compareSettings(old, next *platform.Settings) (c settingsChange) {
@@ -37,7 +41,7 @@
 	}
 	addUnless(&c.applied, "store", old.StoreAddress == next.StoreAddress)
 	addUnless(&c.applied, "seeds", slices.Equal(old.Seeds, next.Seeds))
-	addUnless(&c.applied, "bounds", old.MaxApplyDelay == next.MaxApplyDelay && old.MaxDrainDelay == next.MaxDrainDelay)
+	addUnless(&c.applied, "bounds", old.MaxApplyDelay == next.MaxApplyDelay && old.MaxDrainDelay == next.MaxDrainDelay && old.MaxEvacuationDelay == next.MaxEvacuationDelay)
 	addUnless(&c.applied, "stop_within", old.StopGracePeriod == next.StopGracePeriod)
 	addUnless(&c.applied, "name", old.Name == next.Name)
 	addUnless(&c.ignored, "zone", old.Zone == next.Zone)
@@ -92,6 +96,7 @@
 	next := *old
 	next.Name, next.StoreAddress, next.Seeds = s.Name, s.StoreAddress, s.Seeds
 	next.MaxApplyDelay, next.MaxDrainDelay, next.StopGracePeriod = s.MaxApplyDelay, s.MaxDrainDelay, s.StopGracePeriod
+	next.MaxEvacuationDelay = s.MaxEvacuationDelay
 	h.settings.Store(&next)
 	if next.StoreAddress != old.StoreAddress {
 		h.storeClient.SetStores(platform.NewStore(next.StoreAddress, h.common.Logger), platform.NewStore(next.StoreAddress, h.common.Logger))
--- a/internal/entry/engine/actions.go
+++ b/internal/entry/engine/actions.go
@@ -93,6 +93,12 @@
 	if len(c.Unreadable) > 0 {
 		out.note(slog.LevelWarn, "knowledge: registrations unreadable", append([]slog.Attr{slog.Int("unknown_targets", len(c.Unreadable))}, common...)...)
 	}
+	for _, z := range c.Zones {
+		out.note(slog.LevelInfo, "knowledge: zone state changed", append([]slog.Attr{
+			slog.String("zone", string(z.Zone)), slog.Bool("evacuated", z.Evacuated),
+			slog.Uint64("revision", uint64(z.Revision)), slog.Duration("hold", z.Hold),
+		}, common...)...)
+	}
 	for _, removal := range c.Removed {
 		out.note(slog.LevelInfo, "knowledge: target gone", append([]slog.Attr{
 			slog.String("target", string(removal.ID)),
--- a/internal/entry/engine/engine.go
+++ b/internal/entry/engine/engine.go
@@ -181,6 +181,11 @@
 	}
 	e.balancer.Apply(now, &c)
 	noteChange(&c, position, source, out)
+	for _, z := range c.Zones {
+		if z.Evacuated && !e.balancer.HasTargets(z.Zone) {
+			out.note(slog.LevelWarn, "knowledge: zone without targets evacuated", slog.String("zone", string(z.Zone)))
+		}
+	}
 	// Full updates are not pushed: peers that need one fetch it.
 	if !u.Full {
 		pushed := *u
--- a/internal/entry/engine/reading.go
+++ b/internal/entry/engine/reading.go
@@ -22,6 +22,7 @@
 	r.update.Targets = append(r.update.Targets, u.Targets...)
 	r.update.Removed = append(r.update.Removed, u.Removed...)
 	r.update.Unreadable = append(r.update.Unreadable, u.Unreadable...)
+	r.update.Zones = append(r.update.Zones, u.Zones...)
 	if u.Routing != nil {
 		r.update.Routing = u.Routing
 	}
--- a/internal/entry/meter/meter.go
+++ b/internal/entry/meter/meter.go
@@ -88,9 +88,9 @@
 // instruments are the instruments that are observed when the metrics are
 // collected.
 type instruments struct {
-	age                                            metric.Float64ObservableGauge
-	version, revision, targets, down, flows, peers metric.Int64ObservableGauge
-	verdicts, malformed, unsent, io, lost          metric.Int64ObservableCounter
+	age                                                       metric.Float64ObservableGauge
+	version, revision, targets, down, evacuated, flows, peers metric.Int64ObservableGauge
+	verdicts, malformed, unsent, io, lost                     metric.Int64ObservableCounter
 }
 
 func (m *Meter) observe(meter metric.Meter) (err error) {
@@ -110,6 +110,7 @@
 	i.revision = gauge("cactuspin.knowledge.revision", "Revision of the store that is known.")
 	i.targets = gauge("cactuspin.targets", "Registered targets.")
 	i.down = gauge("cactuspin.targets.down", "Targets that answer neither packets nor probes.")
+	i.evacuated = gauge("cactuspin.zones.evacuated", "Zones whose targets get no new flows.")
 	i.flows = gauge("cactuspin.flows", "Flows remembered.")
 	i.peers = gauge("cactuspin.peers", "Other hosts heard.")
 	i.verdicts = counter("cactuspin.packets", "{packet}", "Packets by the reason of their verdict.")
@@ -124,7 +125,7 @@
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		m.collect(o, &i)
 		return nil
-	}, i.age, i.version, i.revision, i.targets, i.down, i.flows, i.peers, i.verdicts, i.malformed, i.unsent, i.io, i.lost)
+	}, i.age, i.version, i.revision, i.targets, i.down, i.evacuated, i.flows, i.peers, i.verdicts, i.malformed, i.unsent, i.io, i.lost)
 	return errors.WithStack(err)
 }
 
@@ -135,6 +136,7 @@
 	o.ObserveInt64(i.revision, int64(s.Revision))
 	o.ObserveInt64(i.targets, int64(s.Targets))
 	o.ObserveInt64(i.down, int64(len(s.Down)))
+	o.ObserveInt64(i.evacuated, int64(len(s.Evacuated)))
 	o.ObserveInt64(i.flows, int64(s.Flows))
 	o.ObserveInt64(i.peers, int64(s.Peers))
 	for reason, n := range s.Verdicts {
--- a/internal/knowledge/tracker/tracker.go
+++ b/internal/knowledge/tracker/tracker.go
@@ -37,11 +37,13 @@
 	// Unreadable lists targets whose registration cannot be used, and of which nothing
 	// else is known.
 	Unreadable []cactuspin.TargetID
+	// Zones lists zones that were evacuated or have returned.
+	Zones []ZoneChange
 }
 
 // Empty reports whether nothing changed.
 func (c *Change) Empty() bool {
-	return c.Routing == nil && len(c.Targets) == 0 && len(c.Removed) == 0 && len(c.Unreadable) == 0
+	return c.Routing == nil && len(c.Targets) == 0 && len(c.Removed) == 0 && len(c.Unreadable) == 0 && len(c.Zones) == 0
 }
 
 // Removal is a registration that ended.
@@ -77,6 +79,8 @@
 	unreadable map[cactuspin.TargetID]cactuspin.Revision
 	// removed holds the revisions of ended registrations.
 	removed map[cactuspin.TargetID]cactuspin.Revision
+	// zones holds the states of the zones that were ever evacuated.
+	zones map[cactuspin.ZoneID]cactuspin.ZoneState
 	// removedSince is the revision after which removed is complete.
 	removedSince cactuspin.Revision
 	// gap is the range of revisions whose changes a full read has skipped. Hosts that
@@ -92,6 +96,7 @@
 		targets:    map[cactuspin.TargetID]cactuspin.RegisteredTarget{},
 		unreadable: map[cactuspin.TargetID]cactuspin.Revision{},
 		removed:    map[cactuspin.TargetID]cactuspin.Revision{},
+		zones:      map[cactuspin.ZoneID]cactuspin.ZoneState{},
 	}
 }
 
@@ -107,6 +112,8 @@
 	Targets           int
 	// Reader is the host whose read of the store Age is based on.
 	Reader netip.Addr
+	// Evacuated are the zones whose targets get no new flows.
+	Evacuated []cactuspin.ZoneID
 	// Complete reports that a full update was merged, Loaded that routes are
 	// known too.
 	Complete, Loaded bool
@@ -116,7 +123,7 @@
 func (tr *Tracker) Position(now cactuspin.Time) Position {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	p := Position{Revision: tr.revision, LastChange: tr.lastChange, Age: tr.age(now), Complete: tr.complete, Loaded: tr.loaded(), Targets: len(tr.targets), Reader: tr.reader}
+	p := Position{Revision: tr.revision, LastChange: tr.lastChange, Age: tr.age(now), Complete: tr.complete, Loaded: tr.loaded(), Targets: len(tr.targets), Reader: tr.reader, Evacuated: tr.evacuatedZones()}
 	p.LastChangeUnknown = tr.lastChangeUnknown()
 	p.HealthyFor = max(0, now.Sub(tr.healthySince))
 	if tr.routing != nil {
@@ -151,6 +158,7 @@
 	hold := max(0, reregistrationTimeout-now.Sub(tr.healthySince))
 	if u.Full && u.Revision >= tr.revision {
 		tr.removeUnlisted(u, hold, &c)
+		tr.returnUnlistedZones(u, hold, &c)
 		tr.setLastChange(u)
 	}
 	for i := range u.Targets {
@@ -162,6 +170,9 @@
 	for _, removal := range u.Removed {
 		tr.mergeRemoval(removal, hold, &c)
 	}
+	for _, s := range u.Zones {
+		tr.mergeZone(s, &c)
+	}
 	if r := u.Routing; r != nil && (tr.routing == nil || r.Version > tr.routing.Version) {
 		tr.routing, c.Routing = r, r
 		tr.lastChange = max(tr.lastChange, r.Revision)
@@ -384,6 +395,7 @@
 	if tr.routing != nil && tr.routing.Revision > after {
 		u.Routing = tr.routing
 	}
+	u.Zones = tr.zoneStatesAfter(after)
 	for _, t := range tr.targets {
 		if t.Revision > after {
 			u.Targets = append(u.Targets, t)
--- a/internal/steering/balancer/balancer.go
+++ b/internal/steering/balancer/balancer.go
@@ -58,8 +58,10 @@
 	// the IDs of targets of other services.
 	unnamed map[cactuspin.TargetID]cactuspin.RegisteredTarget
 	removed []*target
-	active  activeSet
-	flows   flowTable
+	// evacuations holds the states of the zones.
+	evacuations evacuations
+	active      activeSet
+	flows       flowTable
 	// confirmed is the time at which the knowledge in use was last up to date,
 	// healthySince the time of the store's last recovery from a failure.
 	confirmed    atomic.Int64
@@ -99,6 +101,8 @@
 		byCookie:   cookieIndex{},
 		unreadable: map[cactuspin.Cookie]bool{},
 		unnamed:    map[cactuspin.TargetID]cactuspin.RegisteredTarget{},
+
+		evacuations: evacuations{},
 	}
 	b.flows.init(c.MaxFlows, c.Seed)
 	b.Reconfigure(c.StaleAfter)
--- /dev/null
+++ b/internal/steering/balancer/evacuation.go
@@ -0,0 +1,80 @@
+package balancer
+
+import (
+	"math/rand/v2"
+
+	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/knowledge/tracker"
+)
+
+// minFreeShare is the lowest share of free slots that counts for a zone when flows of an
+// evacuated zone are spread, so that zones which are all full share the flows.
+const minFreeShare = 0.02
+
+// evacuation is the state of a zone, shared by its services.
+type evacuation struct {
+	evacuated bool
+	// until is how long the zone still counts as evacuated after its return.
+	until cactuspin.Time
+}
+
+// active reports whether no new flows may go to the zone.
+func (e *evacuation) active(now cactuspin.Time) bool { return e.evacuated || now < e.until }
+
+// evacuations holds the states of zones.
+type evacuations map[cactuspin.ZoneID]*evacuation
+
+// of returns the state of a zone.
+func (x evacuations) of(zone cactuspin.ZoneID) *evacuation {
+	if x[zone] == nil {
+		x[zone] = &evacuation{}
+	}
+	return x[zone]
+}
+
+// apply applies a change of a zone's state.
+func (x evacuations) apply(now cactuspin.Time, c *tracker.ZoneChange) {
+	e := x.of(c.Zone)
+	e.evacuated, e.until = c.Evacuated, now.Add(c.Hold)
+}
+
+// chooseDisplaced returns a zone for a flow whose own zone is evacuated, or nil. Zones are
+// chosen at random by their free slots: if all hosts chose the least utilized one, they
+// would overrun it until its utilization is known.
+func (v *service) chooseDisplaced(now cactuspin.Time, random *rand.Rand) *zone {
+	var total float64
+	for _, z := range v.zones {
+		total += z.freeTargets(now)
+	}
+	n := random.Float64() * total
+	for _, z := range v.zones {
+		free := z.freeTargets(now)
+		if n < free {
+			return z
+		}
+		n -= free
+	}
+	return nil
+}
+
+// freeTargets returns the capacity that is left in the zone, in targets.
+func (z *zone) freeTargets(now cactuspin.Time) float64 {
+	if z.evacuation.active(now) {
+		return 0
+	}
+	return float64(len(z.targets)) * max(minFreeShare, 1-z.utilization)
+}
+
+// HasTargets reports whether a service has targets in a zone.
+func (b *Balancer) HasTargets(name cactuspin.ZoneID) bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, v := range b.services {
+		for _, z := range v.zones {
+			if z.name == name && len(z.targets) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/steering/balancer/explain.go
+++ b/internal/steering/balancer/explain.go
@@ -33,6 +33,8 @@
 	Usable      int     `json:"usable"`
 	Draining    int     `json:"draining"`
 	Suspect     int     `json:"suspect"`
+	// Evacuated reports that the zone's targets get no new flows.
+	Evacuated bool `json:"evacuated,omitempty"`
 }
 
 // Explain reports how packets of a flow are forwarded. It changes no state.
@@ -68,7 +70,7 @@
 func (v *service) explain(now cactuspin.Time) (x ServiceExplanation) {
 	x.Service = v.name
 	for _, z := range v.zones {
-		e := ZoneExplanation{Zone: z.name, Utilization: z.utilization}
+		e := ZoneExplanation{Zone: z.name, Utilization: z.utilization, Evacuated: z.evacuation.active(now)}
 		for _, t := range z.targets {
 			switch {
 			case !t.usable(now):
--- a/internal/steering/balancer/knowledge.go
+++ b/internal/steering/balancer/knowledge.go
@@ -24,6 +24,9 @@
 			delete(b.targets, r.ID)
 		}
 	}
+	for i := range c.Zones {
+		b.evacuations.apply(now, &c.Zones[i])
+	}
 	if c.Routing != nil {
 		b.setRouting(now, c.Routing)
 	}
@@ -90,7 +93,7 @@
 	}
 	v := b.services[r.Service]
 	if v == nil {
-		v = &service{name: r.Service, named: b.namedServices[r.Service]}
+		v = &service{name: r.Service, named: b.namedServices[r.Service], evacuations: b.evacuations}
 		b.services[r.Service] = v
 	}
 	t = newTarget(now, r, v)
--- a/internal/steering/balancer/service.go
+++ b/internal/steering/balancer/service.go
@@ -33,6 +33,8 @@
 	named bool
 	// zones are sorted by name.
 	zones []*zone
+	// evacuations holds the states of the zones, shared by all services.
+	evacuations evacuations
 }
 
 // zone holds the targets of a service in one zone.
@@ -40,6 +42,8 @@
 	name    cactuspin.ZoneID
 	subject encoder.Subject
 	targets []*target
+	// evacuation is the state of the zone.
+	evacuation *evacuation
 	// utilization is the share of the slots in use, with the requests of all hosts.
 	utilization float64
 }
@@ -49,7 +53,7 @@
 	if i < len(v.zones) && v.zones[i].name == name {
 		return v.zones[i]
 	}
-	z := &zone{name: name, subject: subjectOf(v.name, name)}
+	z := &zone{name: name, subject: subjectOf(v.name, name), evacuation: v.evacuations.of(name)}
 	v.zones = append(v.zones, nil)
 	copy(v.zones[i+1:], v.zones[i:])
 	v.zones[i] = z
@@ -68,7 +72,7 @@
 // suspect targets last, and dead ones never.
 func (v *service) choose(now cactuspin.Time, local cactuspin.ZoneID, exclude *target, random *rand.Rand) *target {
 	var failing, suspect *target
-	if z := v.firstZone(local, random); z != nil {
+	if z := v.firstZone(now, local, random); z != nil {
 		t, s := z.choose(now, exclude, random)
 		if t != nil && !t.failing() {
 			return t
@@ -94,18 +98,22 @@
 
 // firstZone returns the local zone, or nil if the service has no targets there. If
 // the local zone is crowded, it returns the least utilized zone instead with a
-// probability that grows with the difference in utilization.
-func (v *service) firstZone(local cactuspin.ZoneID, random *rand.Rand) *zone {
+// probability that grows with the difference in utilization. Flows of an evacuated zone
+// go to any zone by its free slots.
+func (v *service) firstZone(now cactuspin.Time, local cactuspin.ZoneID, random *rand.Rand) *zone {
 	var own, least *zone
 	for _, z := range v.zones {
 		if z.name == local {
 			own = z
 		}
-		if len(z.targets) > 0 && (least == nil || z.utilization < least.utilization) {
+		if len(z.targets) > 0 && !z.evacuation.active(now) && (least == nil || z.utilization < least.utilization) {
 			least = z
 		}
 	}
-	if own == nil || own.utilization < spillThreshold || own.utilization-least.utilization < spillMargin {
+	if own != nil && own.evacuation.active(now) {
+		return v.chooseDisplaced(now, random)
+	}
+	if own == nil || least == nil || own.utilization < spillThreshold || own.utilization-least.utilization < spillMargin {
 		return own
 	}
 	if random.Float64()*own.utilization < (own.utilization-least.utilization)/2 {
--- a/steering.go
+++ b/steering.go
@@ -114,6 +114,14 @@
 	Revision Revision `cbor:"2,keyasint"`
 }
 
+// ZoneState says whether the operators have evacuated a zone: its targets then get no new
+// flows.
+type ZoneState struct {
+	Zone      ZoneID   `cbor:"1,keyasint"`
+	Evacuated bool     `cbor:"2,keyasint,omitempty"`
+	Revision  Revision `cbor:"3,keyasint"`
+}
+
 // Update brings a host's view of the store's content up to a revision. It is sent
 // by the store or by another host.
 type Update struct {
@@ -141,6 +149,9 @@
 	// LastChange is the revision of the last change that a full update may include; 0
 	// means Revision. It can be a removal, which the update does not list.
 	LastChange Revision `cbor:"12,keyasint,omitempty"`
+	// Zones are the states of zones. A full update from the store lists evacuated zones
+	// only; all others are not evacuated.
+	Zones []ZoneState `cbor:"13,keyasint,omitempty"`
 	// Next is the start of the next page of a read; empty after the last page.
 	Next Cursor `cbor:"-"`
 }
