Reset flows at dead targets without waiting for a packet

When targets crashed, callers of long flows waited: a request that had reached its target is not sent again, so its caller got no reset until its deadline, and each host found out about the target by losing a request of its own (of 28 hosts in a zone each has about one flow at a target). Once the address of the dead target was in use again, its probes were answered and it got new flows.

Hosts now reset flows of repeatable requests as soon as they find the target dead, probe targets that others report if they have flows there, count the other host's silent probe as the first of two, and use a target whose probes are answered again last until its registration would have expired.

--- a/internal/app/entry/host.go
+++ b/internal/app/entry/host.go
@@ -144,6 +144,11 @@
 	if out.Fetch != nil {
 		h.gossiper.Fetch(h.ctx, out.Fetch)
 	}
+	for _, r := range out.Resets {
+		h.forwarder.Reset(r.Caller, r.Service, r.Acknowledgement)
+		h.common.Logger.Info("flow: reset", slog.String("caller", r.Caller.String()), slog.String("service", r.Service.String()),
+			slog.String("target", string(r.Target)), slog.String("reason", cactuspin.ReasonTargetDown.String()))
+	}
 	for _, p := range out.Probes {
 		h.prober.Probe(p)
 	}
--- a/internal/entry/engine/actions.go
+++ b/internal/entry/engine/actions.go
@@ -52,6 +52,7 @@
 	Sends  []Send
 	Fetch  *Fetch
 	Probes []balancer.Probe
+	Resets []balancer.Reset
 	Notes  []Note
 }
 
--- a/internal/entry/engine/engine.go
+++ b/internal/entry/engine/engine.go
@@ -163,6 +163,7 @@
 		out.note(slog.LevelInfo, "target: condition changed", slog.String("target", string(p.Target)),
 			slog.String("address", p.Address.String()), slog.Bool("down", f != balancer.FindingAlive),
 			slog.String("probe", f.String()), slog.Duration("took", now.Sub(began)))
+		out.Resets = append(out.Resets, e.balancer.FlowsToReset(now, p.Target)...)
 	}
 }
 
--- a/internal/entry/forwarder/forwarder.go
+++ b/internal/entry/forwarder/forwarder.go
@@ -126,9 +126,7 @@
 		f.cfg.Format.PutTarget(b, v.TargetNumber)
 		_, err = f.socket.WriteToUDPAddrPort(b, v.TargetAddress)
 	case cactuspin.VerdictReset:
-		var reset [cactuspin.MaxPacketLength]byte
-		to := netip.AddrPortFrom(p.Caller.Addr(), f.cfg.Address.Port())
-		_, err = f.socket.WriteToUDPAddrPort(f.cfg.Format.AppendReset(reset[:0], p), to)
+		err = f.sendReset(p)
 	case cactuspin.VerdictDrop:
 	}
 	if err != nil {
@@ -136,3 +134,19 @@
 	}
 	f.cfg.Observe(now, p, &v, packet)
 }
+
+// Reset resets an open flow at its caller, who has acknowledged the given number.
+func (f *Forwarder) Reset(caller, service netip.AddrPort, acknowledgement uint32) {
+	p := cactuspin.Packet{Caller: caller, Service: service, Flags: cactuspin.FlagACK, Acknowledgement: acknowledgement}
+	if f.sendReset(&p) != nil {
+		f.unsent.Add(1)
+	}
+}
+
+// sendReset resets the flow of the caller's packet p.
+func (f *Forwarder) sendReset(p *cactuspin.Packet) error {
+	var reset [cactuspin.MaxPacketLength]byte
+	to := netip.AddrPortFrom(p.Caller.Addr(), f.cfg.Address.Port())
+	_, err := f.socket.WriteToUDPAddrPort(f.cfg.Format.AppendReset(reset[:0], p), to)
+	return err
+}
--- a/internal/standin/simulator/host.go
+++ b/internal/standin/simulator/host.go
@@ -7,6 +7,7 @@
 	"github.com/cactuspin/cactuspin"
 	"github.com/cactuspin/cactuspin/internal/entry/engine"
 	"github.com/cactuspin/cactuspin/internal/knowledge/encoder"
+	"github.com/cactuspin/cactuspin/internal/steering/balancer"
 )
 
 const (
@@ -144,6 +145,9 @@
 	if out.Fetch != nil {
 		h.fetch(out.Fetch)
 	}
+	for _, r := range out.Resets {
+		h.sim.resetFlow(h, r)
+	}
 	for _, p := range out.Probes {
 		startedAt, generation, p := h.sim.now, h.generation, p
 		finding, duration := h.sim.probe(h, p.Address)
@@ -318,3 +322,12 @@
 	}
 	return best
 }
+
+// resetFlow resets a flow without a packet of its caller.
+func (s *Simulation) resetFlow(h *host, r balancer.Reset) {
+	for _, c := range s.callers {
+		if x := c.connection; x != nil && x.address == r.Caller && x.service == r.Service {
+			s.after(s.delayToCaller(), func() { x.handleReset(h, nil, cactuspin.ReasonTargetDown) })
+		}
+	}
+}
--- a/internal/steering/balancer/balancer.go
+++ b/internal/steering/balancer/balancer.go
@@ -212,7 +212,7 @@
 	// A flow whose requests may run again is reset at once if its target is dead
 	// and targets to which the route leads have free slots. Flows of other requests stay open: the
 	// answer may still come directly from the target.
-	if p.Length > 0 && route.Kind != cactuspin.WorkNonIdempotent && t.health.allowsReset(v.Retransmitted) && b.hasCapacity(now, route) {
+	if p.Length > 0 && route.Kind != cactuspin.WorkNonIdempotent && t.health.allowsReset(now, v.Retransmitted) && b.hasCapacity(now, route) {
 		f.unassign()
 		return b.refuse(now, p, v, cactuspin.ReasonTargetDown)
 	}
--- a/internal/steering/balancer/health.go
+++ b/internal/steering/balancer/health.go
@@ -26,6 +26,10 @@
 	// spreadCount is the number of other targets of a zone that are probed when one
 	// of them goes down.
 	spreadCount = 3
+	// probationTime is how long after it was first found down a target is used last though
+	// its address answers probes again: another target may have taken the address over. It
+	// is longer than a registration outlives its target, three heartbeats of 1.2 s.
+	probationTime = 5 * time.Second
 )
 
 // condition is the health of a target as seen by this host.
@@ -74,6 +78,9 @@
 	// foundDownAt the time of the last probe that found it down.
 	silentProbes int
 	foundDownAt  cactuspin.Time
+	// probationUntil is the end of the time in which an answered probe does not prove that
+	// the target has returned.
+	probationUntil cactuspin.Time
 	// reportedUntil is how long new flows avoid the target because another host found
 	// it down.
 	reportedUntil cactuspin.Time
@@ -114,7 +121,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	wasDown := h.condition >= down
-	h.lastAlive, h.condition, h.silentProbes, h.reportedUntil = now, healthy, 0, 0
+	h.lastAlive, h.condition, h.silentProbes, h.reportedUntil, h.probationUntil = now, healthy, 0, 0, 0
 	return wasDown
 }
 
@@ -136,6 +143,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	before := h.condition
+	defer func() {
+		if before < down && h.condition >= down {
+			h.probationUntil = now.Add(probationTime)
+		}
+	}()
 	switch {
 	case f == FindingAlive:
 		h.condition, h.silentProbes, h.trustedUntil, h.reportedUntil = healthy, 0, now.Add(probeTrustTime), 0
@@ -147,6 +159,10 @@
 		h.condition, h.foundDownAt = dead, now
 	default:
 		h.silentProbes++
+		if now < h.reportedUntil {
+			// Another host's probe was silent, too.
+			h.silentProbes++
+		}
 		h.condition, h.foundDownAt = max(h.condition, down), now
 		if h.silentProbes >= silentProbesUntilDead {
 			h.condition = dead
@@ -182,7 +198,7 @@
 func (h *health) avoided(now cactuspin.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return now < h.reportedUntil || h.condition >= down || (h.condition == suspect && now.Sub(h.lastMissed) < suspectTimeout)
+	return now < h.reportedUntil || now < h.probationUntil || h.condition >= down || (h.condition == suspect && now.Sub(h.lastMissed) < suspectTimeout)
 }
 
 // isHealthy reports whether the target is neither suspect nor down.
@@ -207,12 +223,12 @@
 }
 
 // allowsReset reports whether an open flow with new data may be reset. While the
-// target is only down, the flow itself must have got no answer, too: then a probe
-// that failed wrongly resets no flow that works.
-func (h *health) allowsReset(retransmitted bool) bool {
+// target is only down, or answers probes again, the flow itself must have got no answer,
+// too: then a probe that failed wrongly resets no flow that works.
+func (h *health) allowsReset(now cactuspin.Time, retransmitted bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.condition == dead || (h.condition == down && retransmitted)
+	return h.condition == dead || ((h.condition == down || now < h.probationUntil) && retransmitted)
 }
 
 // Probe is a request to probe a target by connecting to its address.
--- a/internal/steering/balancer/report.go
+++ b/internal/steering/balancer/report.go
@@ -50,6 +50,10 @@
 		}
 		for _, t := range targets {
 			t.health.recordReport(foundDownAt[t])
+			// Flows of this host find out before their next request, not by losing it.
+			if t.flows.Load() > 0 && t.health.suspectUnlessAlive(now, foundDownAt[t]) {
+				b.active.add(t)
+			}
 		}
 	}
 }
