Use no knowledge of hosts that do not follow zones

During a rolling upgrade, a host of this build took updates and beacons of hosts of the build before, which list no zones. Its revision passed that of an evacuation that it had not seen, and it missed the evacuation until the key changed again; a full update of such a host ended all evacuations.

Updates and beacons say that their sender follows the states of zones (CBOR 20). Where the settings bound evacuations, other knowledge is not used, and the host reads the store itself.

The model check plays evacuations and returns and compares the zone with the store.

--- a/internal/app/entry/reload.go
+++ b/internal/app/entry/reload.go
@@ -30,7 +30,7 @@
 	if s.MaxEvacuationDelay > 0 {
 		staleness = min(staleness, s.MaxEvacuationDelay)
 	}
-	return engine.DynamicConfig{Seeds: s.Seeds, MaxStaleness: staleness}
+	return engine.DynamicConfig{Seeds: s.Seeds, MaxStaleness: staleness, Evacuations: s.MaxEvacuationDelay > 0}
 }
 
 func compareSettings(old, next *platform.Settings) (c settingsChange) {
--- a/internal/entry/engine/actions.go
+++ b/internal/entry/engine/actions.go
@@ -109,6 +109,9 @@
 			slog.Uint64("revision", uint64(z.Revision)), slog.Duration("hold", z.Hold),
 		}, common...)...)
 	}
+	if c.OmittedZones > 0 {
+		out.note(slog.LevelWarn, "knowledge: too many zones, states ignored", append([]slog.Attr{slog.Int("zones", c.OmittedZones)}, common...)...)
+	}
 	for _, removal := range c.Removed {
 		out.note(slog.LevelInfo, "knowledge: target gone", append([]slog.Attr{
 			slog.String("target", string(removal.ID)),
--- a/internal/entry/engine/engine.go
+++ b/internal/entry/engine/engine.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -45,6 +46,9 @@
 	// MaxStaleness is the time within which a change of the routes or of a
 	// target's state has to take effect, whichever limit is shorter.
 	MaxStaleness time.Duration
+	// Evacuations reports that evacuations have to take effect within MaxStaleness. Then
+	// knowledge of peers that do not follow the states of zones is not used.
+	Evacuations bool
 }
 
 // maxAge returns the age of the knowledge above which a host reads the store
@@ -183,9 +187,10 @@
 	}
 	e.balancer.Apply(now, &c)
 	noteChange(&c, position, first, source, out)
-	for _, z := range c.Zones {
-		if z.Evacuated && !e.balancer.HasTargets(z.Zone) {
-			out.note(slog.LevelWarn, "knowledge: zone without targets evacuated", slog.String("zone", string(z.Zone)))
+	for _, z := range position.Evacuated {
+		changed := slices.ContainsFunc(c.Zones, func(x tracker.ZoneChange) bool { return x.Zone == z })
+		if changed && !e.balancer.HasTargets(z) {
+			out.note(slog.LevelWarn, "knowledge: zone without targets evacuated", slog.String("zone", string(z)))
 		}
 	}
 	// Full updates are not pushed: peers that need one fetch it.
--- a/internal/entry/engine/peers.go
+++ b/internal/entry/engine/peers.go
@@ -42,6 +42,7 @@
 		Age:               p.Age,
 		HealthyFor:        p.HealthyFor,
 		Reader:            p.Reader,
+		KnowsZones:        true,
 		Complete:          p.Complete,
 		Leaving:           e.leaving,
 	}
@@ -55,7 +56,7 @@
 		e.handleBeacon(now, d.Beacon, out)
 		return
 	}
-	if now < e.trustAfter {
+	if now < e.trustAfter || e.hidesZones(d.Update.KnowsZones) {
 		return
 	}
 	if !e.merge(now, d.Update, from.String(), out) {
@@ -72,7 +73,7 @@
 		reply := e.beacon(now)
 		out.send([]netip.Addr{b.Host.Address}, encoder.Datagram{Beacon: &reply})
 	}
-	if !b.Complete || now < e.trustAfter {
+	if !b.Complete || now < e.trustAfter || e.hidesZones(b.KnowsZones) {
 		return
 	}
 	confirmation := tracker.Confirmation{Revision: b.Revision, LastChange: b.LastChange, Age: b.Age, HealthyFor: b.HealthyFor, Reader: b.Reader}
@@ -87,6 +88,11 @@
 	e.balancer.SetFreshness(now, e.tracker.Position(now))
 }
 
+// hidesZones reports whether knowledge of a peer must not be used because it shows no
+// evacuations and these have to take effect in time. Hosts of the build before send such
+// knowledge during a rolling upgrade; this host then reads the store itself.
+func (e *Engine) hidesZones(known bool) bool { return e.c.Evacuations && !known }
+
 // fetch requests the missing changes from a peer unless a fetch is in progress.
 func (e *Engine) fetch(now cactuspin.Time, host netip.Addr, out *Actions) {
 	if e.fetching || !e.planner.BeginFetch(now, host) {
@@ -154,7 +160,7 @@
 	}
 	// The content may be as old as the request.
 	u.Age += now.Sub(f.SentAt)
-	if f.SentAt < e.trustAfter {
+	if f.SentAt < e.trustAfter || e.hidesZones(u.KnowsZones) {
 		return
 	}
 	e.merge(now, u, f.Host.String(), out)
--- a/internal/entry/engine/store.go
+++ b/internal/entry/engine/store.go
@@ -116,6 +116,6 @@
 			e.store.nextCall = now.Add(batchDelay)
 		}
 	}
-	u.HealthyFor, u.Reader = healthyFor, e.c.Self.Address
+	u.HealthyFor, u.Reader, u.KnowsZones = healthyFor, e.c.Self.Address, true
 	e.merge(now, u, "store", out)
 }
--- a/internal/knowledge/encoder/encoder.go
+++ b/internal/knowledge/encoder/encoder.go
@@ -123,6 +123,8 @@
 	Reader netip.Addr `cbor:"13,keyasint"`
 	// LastChangeUnknown reports that the last change may have been before LastChange.
 	LastChangeUnknown bool `cbor:"14,keyasint,omitempty"`
+	// KnowsZones reports that the host follows the states of zones, see Update.
+	KnowsZones bool `cbor:"20,keyasint,omitempty"`
 }
 
 // Datagram is a datagram between hosts; exactly one field is set.
--- a/internal/knowledge/encoder/encoder_test.go
+++ b/internal/knowledge/encoder/encoder_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/cactuspin/cactuspin"
@@ -18,6 +19,8 @@
 		Revision: 7, LastChange: 5, Age: time.Second, Complete: true,
 		Loads: encoder.Loads{{Subject: 9, ActiveRequests: 3 * encoder.ActiveRequestsScale, Flows: 700}},
 		Down:  encoder.DownTargets{{Cookie: 77, Age: 300 * time.Millisecond}},
+
+		KnowsZones: true,
 	}}
 }
 
@@ -27,6 +30,7 @@
 	update := encoder.Datagram{Update: &cactuspin.Update{
 		After: 3, Revision: 9, Removed: []cactuspin.RemovedTarget{{ID: "x", Revision: 8}},
 		Targets: []cactuspin.RegisteredTarget{{ID: "y", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 3}},
+		Zones:   []cactuspin.ZoneState{{Zone: "a", Evacuated: true, Revision: 9}, {Zone: "b", Revision: 4}}, KnowsZones: true,
 	}}
 	for _, d := range []encoder.Datagram{beacon, update} {
 		b, err := encoder.Encode(&d)
@@ -37,6 +41,36 @@
 	}
 }
 
+// Guards against hosts of two builds that do not understand each other during a rolling
+// upgrade: messages of the build before lack the fields of zones, and it skips them in
+// those of this build.
+func TestMessagesOfTheBuildBefore(t *testing.T) {
+	g := NewWithT(t)
+	type oldUpdate struct {
+		After      cactuspin.Revision `cbor:"1,keyasint"`
+		Revision   cactuspin.Revision `cbor:"2,keyasint"`
+		Full       bool               `cbor:"3,keyasint"`
+		Age        time.Duration      `cbor:"4,keyasint"`
+		HealthyFor time.Duration      `cbor:"5,keyasint"`
+		Reader     netip.Addr         `cbor:"10,keyasint"`
+	}
+	before := oldUpdate{Revision: 9, Full: true, Age: time.Second, HealthyFor: time.Minute, Reader: netip.MustParseAddr("10.1.0.1")}
+	b, err := cbor.Marshal(before)
+	g.Expect(err).NotTo(HaveOccurred())
+	u, err := encoder.DecodeUpdate(b)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(u).To(Equal(cactuspin.Update{Revision: 9, Full: true, Age: time.Second, HealthyFor: time.Minute, Reader: before.Reader}))
+	same, err := encoder.EncodeUpdate(&u)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(same).To(Equal(b), "an update without zones has no bytes for them")
+	u.KnowsZones, u.Zones = true, []cactuspin.ZoneState{{Zone: "a", Evacuated: true, Revision: 8}}
+	b, err = encoder.EncodeUpdate(&u)
+	g.Expect(err).NotTo(HaveOccurred())
+	var read oldUpdate
+	g.Expect(cbor.Unmarshal(b, &read)).To(Succeed())
+	g.Expect(read).To(Equal(before))
+}
+
 func TestBeaconWithManyLoadsFitsIntoAFrame(t *testing.T) {
 	g := NewWithT(t)
 	d := sample()
--- a/internal/knowledge/tracker/model_test.go
+++ b/internal/knowledge/tracker/model_test.go
@@ -1,6 +1,7 @@
 package tracker_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"os"
@@ -56,6 +57,17 @@
 	entries             map[cactuspin.TargetID]entry
 	version             cactuspin.RoutingVersion
 	versionRevision     cactuspin.Revision
+	// zone is the state of the only zone.
+	zone cactuspin.ZoneState
+}
+
+// setZone evacuates the zone, also again, or returns it.
+func (s *modelStore) setZone(evacuated bool) {
+	if !evacuated && !s.zone.Evacuated {
+		return
+	}
+	s.revision++
+	s.zone = cactuspin.ZoneState{Zone: "z", Evacuated: evacuated, Revision: s.revision}
 }
 
 func (s *modelStore) put(id cactuspin.TargetID, k kind) {
@@ -67,12 +79,15 @@
 }
 
 // changes returns an update with the entries that changed after a revision and whose IDs
-// lie between first and last.
+// lie between first and last. The keys of evacuations come before those of targets.
 func (s *modelStore) changes(after cactuspin.Revision, first, last cactuspin.TargetID) *cactuspin.Update {
-	u := &cactuspin.Update{After: after, Revision: s.revision, Full: after == 0, HealthyFor: 1 << 40}
+	u := &cactuspin.Update{After: after, Revision: s.revision, Full: after == 0, HealthyFor: 1 << 40, KnowsZones: true}
 	if s.versionRevision > after {
 		u.Routing = &cactuspin.Routing{Version: s.version, Revision: s.versionRevision}
 	}
+	if first == "" && s.zone.Revision > after && (s.zone.Evacuated || after > 0) {
+		u.Zones = append(u.Zones, s.zone)
+	}
 	for id, e := range s.entries {
 		switch {
 		case e.revision <= after || id < first || id > last:
@@ -128,6 +143,8 @@
 		m.store.revision++
 		m.store.version, m.store.versionRevision = m.store.version+1, m.store.revision
 	})
+	add("evacuate", func(m *model) { m.store.setZone(true) })
+	add("return", func(m *model) { m.store.setZone(false) })
 	add("forget", func(m *model) { m.store.compacted = m.store.revision })
 	for n := range modelHosts {
 		add(fmt.Sprintf("first page %d", n), func(m *model) { m.hosts[n].read = m.store.changes(0, "", "a") })
@@ -206,13 +223,29 @@
 		if !ok {
 			continue
 		}
-		if v := m.wrongEntry(&u); v != "" {
+		if v := cmp.Or(m.wrongZone(&u), m.wrongEntry(&u)); v != "" {
 			return fmt.Sprintf("host %d at revision %d: %s", n, p.Revision, v)
 		}
 	}
 	return ""
 }
 
+// wrongZone compares what a host knows of the zone with its state.
+func (m *model) wrongZone(u *cactuspin.Update) string {
+	var known cactuspin.ZoneState
+	if len(u.Zones) > 0 {
+		known = u.Zones[0]
+	}
+	stored := m.store.zone
+	switch {
+	case known.Evacuated && known.Revision > stored.Revision:
+		return fmt.Sprintf("the zone is evacuated at %d, in the store last at %d", known.Revision, stored.Revision)
+	case stored.Revision <= u.Revision && known.Evacuated != stored.Evacuated:
+		return fmt.Sprintf("the zone is %+v instead of %+v", known, stored)
+	}
+	return ""
+}
+
 // wrongEntry compares what a host knows with the entries that have not changed after its
 // revision.
 func (m *model) wrongEntry(u *cactuspin.Update) string {
@@ -253,6 +286,9 @@
 	"one behind a lost history": {
 		"register a", "first page 0", "last page 0", "beacon from 0", "register b", "watch 1", "remove b", "forget",
 	},
+	"one behind the return of a zone": {
+		"evacuate", "first page 0", "last page 0", "beacon from 0", "return", "watch 1", "forget",
+	},
 }
 
 func play(t *testing.T, steps []step, order []int, start []string) {
--- a/internal/knowledge/tracker/tracker.go
+++ b/internal/knowledge/tracker/tracker.go
@@ -39,11 +39,13 @@
 	Unreadable []cactuspin.TargetID
 	// Zones lists zones that were evacuated or have returned.
 	Zones []ZoneChange
+	// OmittedZones counts states of zones that were ignored because too many are known.
+	OmittedZones int
 }
 
 // Empty reports whether nothing changed.
 func (c *Change) Empty() bool {
-	return c.Routing == nil && len(c.Targets) == 0 && len(c.Removed) == 0 && len(c.Unreadable) == 0 && len(c.Zones) == 0
+	return c.Routing == nil && len(c.Targets) == 0 && len(c.Removed) == 0 && len(c.Unreadable) == 0 && len(c.Zones) == 0 && c.OmittedZones == 0
 }
 
 // Removal is a registration that ended.
@@ -79,8 +81,10 @@
 	unreadable map[cactuspin.TargetID]cactuspin.Revision
 	// removed holds the revisions of ended registrations.
 	removed map[cactuspin.TargetID]cactuspin.Revision
-	// zones holds the states of the zones that were ever evacuated.
-	zones map[cactuspin.ZoneID]cactuspin.ZoneState
+	// zones holds the states of the zones that were ever evacuated, evacuated the names
+	// of those that are, sorted. The slice is replaced and never changed.
+	zones     map[cactuspin.ZoneID]cactuspin.ZoneState
+	evacuated []cactuspin.ZoneID
 	// removedSince is the revision after which removed is complete.
 	removedSince cactuspin.Revision
 	// gap is the range of revisions whose changes a full read has skipped. Hosts that
@@ -123,7 +127,7 @@
 func (tr *Tracker) Position(now cactuspin.Time) Position {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	p := Position{Revision: tr.revision, LastChange: tr.lastChange, Age: tr.age(now), Complete: tr.complete, Loaded: tr.loaded(), Targets: len(tr.targets), Reader: tr.reader, Evacuated: tr.evacuatedZones()}
+	p := Position{Revision: tr.revision, LastChange: tr.lastChange, Age: tr.age(now), Complete: tr.complete, Loaded: tr.loaded(), Targets: len(tr.targets), Reader: tr.reader, Evacuated: tr.evacuated}
 	p.LastChangeUnknown = tr.lastChangeUnknown()
 	p.HealthyFor = max(0, now.Sub(tr.healthySince))
 	if tr.routing != nil {
@@ -158,7 +162,9 @@
 	hold := max(0, reregistrationTimeout-now.Sub(tr.healthySince))
 	if u.Full && u.Revision >= tr.revision {
 		tr.removeUnlisted(u, hold, &c)
-		tr.returnUnlistedZones(u, hold, &c)
+		if u.KnowsZones {
+			tr.returnUnlistedZones(u, hold, &c)
+		}
 		tr.setLastChange(u)
 	}
 	for i := range u.Targets {
@@ -383,7 +389,7 @@
 	if !tr.complete {
 		return u, false
 	}
-	u = cactuspin.Update{Revision: tr.revision, Age: tr.age(now), HealthyFor: max(0, now.Sub(tr.healthySince)), Reader: tr.reader}
+	u = cactuspin.Update{Revision: tr.revision, Age: tr.age(now), HealthyFor: max(0, now.Sub(tr.healthySince)), Reader: tr.reader, KnowsZones: true}
 	u.Full = tr.needsFullUpdate(after)
 	if u.Full {
 		after = 0
--- a/steering.go
+++ b/steering.go
@@ -152,6 +152,9 @@
 	// Zones are the states of zones. A full update from the store lists evacuated zones
 	// only; all others are not evacuated.
 	Zones []ZoneState `cbor:"13,keyasint,omitempty"`
+	// KnowsZones reports that the sender follows the states of zones. Hosts of builds
+	// without evacuations do not, and their updates hide evacuations.
+	KnowsZones bool `cbor:"20,keyasint,omitempty"`
 	// Next is the start of the next page of a read; empty after the last page.
 	Next Cursor `cbor:"-"`
 }
