Spread displaced flows by slots

The flows of an evacuated zone were spread by the number of targets of the other zones, including draining and removed ones, whatever their slots: a zone of 10 targets with 8 slots got a fifth of the flows beside one of 40 targets with 2 slots and as many free slots. Hosts that started after the zone's targets were gone did not spread flows at all and chose the least utilized zone. A choice in an evacuated zone went through all of its targets.

Flows are spread by the slots of ready targets, also if the evacuated zone has no targets, and evacuated zones are skipped at once.

TestDisplacedLoadIsSpreadByFreeSlots: 28 and 84 hosts choosing at once; fails with the weights before for unequal slots and for draining targets.

--- a/internal/steering/balancer/evacuation.go
+++ b/internal/steering/balancer/evacuation.go
@@ -32,6 +32,12 @@
 	return x[zone]
 }
 
+// active reports whether no new flows may go to a zone.
+func (x evacuations) active(now cactuspin.Time, zone cactuspin.ZoneID) bool {
+	e := x[zone]
+	return e != nil && e.active(now)
+}
+
 // apply applies a change of a zone's state.
 func (x evacuations) apply(now cactuspin.Time, c *tracker.ZoneChange) {
 	e := x.of(c.Zone)
@@ -44,11 +50,11 @@
 func (v *service) chooseDisplaced(now cactuspin.Time, random *rand.Rand) *zone {
 	var total float64
 	for _, z := range v.zones {
-		total += z.freeTargets(now)
+		total += z.freeSlots(now)
 	}
 	n := random.Float64() * total
 	for _, z := range v.zones {
-		free := z.freeTargets(now)
+		free := z.freeSlots(now)
 		if n < free {
 			return z
 		}
@@ -57,12 +63,17 @@
 	return nil
 }
 
-// freeTargets returns the capacity that is left in the zone, in targets.
-func (z *zone) freeTargets(now cactuspin.Time) float64 {
+// freeSlots returns the number of free slots in the zone.
+func (z *zone) freeSlots(now cactuspin.Time) float64 {
 	if z.evacuation.active(now) {
 		return 0
 	}
-	return float64(len(z.targets)) * max(minFreeShare, 1-z.utilization)
+	slots := z.slots
+	if slots < 0 {
+		// The load is not known yet; targets of a service have about as many slots each.
+		slots = len(z.targets)
+	}
+	return float64(slots) * max(minFreeShare, 1-z.utilization)
 }
 
 // HasTargets reports whether a service has targets in a zone.
--- a/internal/steering/balancer/service.go
+++ b/internal/steering/balancer/service.go
@@ -46,6 +46,8 @@
 	evacuation *evacuation
 	// utilization is the share of the slots in use, with the requests of all hosts.
 	utilization float64
+	// slots is the number of slots at the last update of utilization, or -1 before.
+	slots int
 }
 
 func (v *service) zone(name cactuspin.ZoneID) *zone {
@@ -53,7 +55,7 @@
 	if i < len(v.zones) && v.zones[i].name == name {
 		return v.zones[i]
 	}
-	z := &zone{name: name, subject: subjectOf(v.name, name), evacuation: v.evacuations.of(name)}
+	z := &zone{name: name, subject: subjectOf(v.name, name), evacuation: v.evacuations.of(name), slots: -1}
 	v.zones = append(v.zones, nil)
 	copy(v.zones[i+1:], v.zones[i:])
 	v.zones[i] = z
@@ -110,7 +112,7 @@
 			least = z
 		}
 	}
-	if own != nil && own.evacuation.active(now) {
+	if v.evacuations.active(now, local) {
 		return v.chooseDisplaced(now, random)
 	}
 	if own == nil || least == nil || own.utilization < spillThreshold || own.utilization-least.utilization < spillMargin {
@@ -141,7 +143,7 @@
 // choose returns the least loaded target, and one that is suspect.
 func (z *zone) choose(now cactuspin.Time, exclude *target, random *rand.Rand) (best, suspect *target) {
 	n := len(z.targets)
-	if n == 0 {
+	if n == 0 || z.evacuation.active(now) {
 		return nil, nil
 	}
 	first, compared := random.IntN(n), 0
@@ -185,12 +187,16 @@
 func (v *service) updateUtilization(others map[encoder.Subject]encoder.Load) {
 	for _, z := range v.zones {
 		busy, slots := float64(others[z.subject].ActiveRequests)/encoder.ActiveRequestsScale, 0
+		z.slots = 0
 		for _, t := range z.targets {
 			if t.registered.State != cactuspin.TargetReady {
 				continue
 			}
 			busy += t.meanBusy
 			slots += t.registered.Slots
+			if t.removedAt == 0 {
+				z.slots += t.registered.Slots
+			}
 		}
 		z.utilization = busy / max(1, float64(slots))
 	}
