Show evacuated zones in the table of hosts

The table of cactuspin entry has a column with the number of evacuated zones of each host, and a line that names them with the number of hosts that know of them, so that hosts that have not applied an evacuation show.

--- a/internal/app/operator/entry_command.go
+++ b/internal/app/operator/entry_command.go
@@ -134,15 +134,15 @@
 // printEntries prints a row for each host, and what matters about all of them.
 func printEntries(out io.Writer, answers []entryAnswer) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "ZONE\tHOST\tADDRESS\tSTATE\tVERSION\tAGE\tREADER\tPEERS\tTARGETS\tDOWN\tFLOWS")
+	_, _ = fmt.Fprintln(w, "ZONE\tHOST\tADDRESS\tSTATE\tVERSION\tAGE\tREADER\tPEERS\tTARGETS\tDOWN\tEVACUATED\tFLOWS")
 	for _, a := range answers {
 		s := &a.status
 		if a.err != nil {
-			_, _ = fmt.Fprintf(w, "?\t?\t%s\tno answer\t\t\t\t\t\t\t\n", a.address)
+			_, _ = fmt.Fprintf(w, "?\t?\t%s\tno answer\t\t\t\t\t\t\t\t\n", a.address)
 			continue
 		}
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%.2fs\t%s\t%d\t%d\t%d\t%d\n", s.Zone, s.Host, a.address, stateOf(s), s.Version,
-			s.KnowledgeAge, s.Reader, s.Peers, s.Targets, len(s.TargetsDown), s.Flows)
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%.2fs\t%s\t%d\t%d\t%d\t%d\t%d\n", s.Zone, s.Host, a.address, stateOf(s), s.Version,
+			s.KnowledgeAge, s.Reader, s.Peers, s.Targets, len(s.TargetsDown), len(s.EvacuatedZones), s.Flows)
 	}
 	if err := w.Flush(); err != nil {
 		return errors.WithStack(err)
@@ -165,9 +165,10 @@
 	}
 }
 
-// summarizeEntries counts versions, silent hosts and targets that are down.
+// summarizeEntries counts versions, silent hosts, targets that are down and zones that are
+// evacuated.
 func summarizeEntries(answers []entryAnswer) string {
-	versions, down, silent := map[uint64]int{}, map[string]int{}, 0
+	versions, down, evacuated, silent := map[uint64]int{}, map[string]int{}, map[string]int{}, 0
 	oldest := 0.0
 	for _, a := range answers {
 		if a.err != nil {
@@ -179,6 +180,9 @@
 		for _, t := range a.status.TargetsDown {
 			down[t]++
 		}
+		for _, z := range a.status.EvacuatedZones {
+			evacuated[z]++
+		}
 	}
 	var b strings.Builder
 	fmt.Fprintf(&b, "%d of %d hosts answered, oldest knowledge %.2fs\n", len(answers)-silent, len(answers), oldest)
@@ -186,6 +190,9 @@
 	if len(down) > 0 {
 		fmt.Fprintf(&b, "targets down: %s\n", listCounts(down, "host"))
 	}
+	if len(evacuated) > 0 {
+		fmt.Fprintf(&b, "zones evacuated: %s\n", listCounts(evacuated, "host"))
+	}
 	return b.String()
 }
 
