Play evacuations in the simulator

The store of the simulator evacuates and returns zones, hosts of the build before can run beside those of this build, and the oracle checks that no new flow reaches an evacuated zone after 5 s, from hosts that the store refuses either, and that a zone gets flows after its return.

--- a/internal/standin/simulator/faults.go
+++ b/internal/standin/simulator/faults.go
@@ -141,6 +141,7 @@
 		"store_forgets":      s.stallWatchesAndCompact,
 		"store_silences":     func(*Fault) { s.store.dropWatches() },
 		"zone_cut":           s.isolateZone,
+		"zone_evacuate":      s.evacuateZones,
 		"lossy":              s.dropDatagrams,
 		"target_crash":       func(f *Fault) { s.eachTarget(f, (*target).crash) },
 		"target_drain":       func(f *Fault) { s.eachTarget(f, (*target).drain) },
--- a/internal/standin/simulator/host.go
+++ b/internal/standin/simulator/host.go
@@ -83,7 +83,7 @@
 	}
 	self := cactuspin.EntryHost{Address: h.address, Zone: h.zone}
 	h.engine = engine.New(engine.Config{
-		DynamicConfig: engine.DynamicConfig{Seeds: seeds, MaxStaleness: min(applyBound, drainBound)},
+		DynamicConfig: engine.DynamicConfig{Seeds: seeds, MaxStaleness: min(applyBound, drainBound, evacuationBound), Evacuations: !h.previousBuild()},
 		Self:          self, Incarnation: cactuspin.Incarnation(h.sim.random.Uint64()), MaxFlows: 1 << 14, Seed: h.sim.random.Uint64(),
 	})
 	generation := h.generation
@@ -127,6 +127,9 @@
 		h.sim.trace("host %d: %s %v", h.index, n.Message, n.Attributes)
 	}
 	for _, s := range out.Sends {
+		if h.previousBuild() {
+			s.Datagram = withoutZones(s.Datagram)
+		}
 		if b, err := encoder.Encode(&s.Datagram); err == nil {
 			h.sim.oracle.peerBytes += len(b) * len(s.To)
 		}
@@ -182,6 +185,9 @@
 	}
 	e := h.engine
 	u, err := e.UpdateSince(h.sim.now, f.After)
+	if h.previousBuild() {
+		u = updateWithoutZones(u)
+	}
 	if err != nil {
 		answer(u, err)
 		return
--- a/internal/standin/simulator/oracle.go
+++ b/internal/standin/simulator/oracle.go
@@ -51,6 +51,8 @@
 	// storeGracePeriodEnd when they do after a fault of the store.
 	gracePeriodEnds     map[any]cactuspin.Time
 	storeGracePeriodEnd cactuspin.Time
+	// zones holds the zones that were evacuated.
+	zones map[cactuspin.ZoneID]*zoneRecord
 	// configurations holds the accepted configurations in order of time.
 	configurations []acceptedRouting
 	// recoveryDeadline is when service must have recovered; requestsAfterRecovery and
@@ -161,6 +163,7 @@
 	if t.drainingSince != 0 && o.sim.now.Sub(t.drainingSince) > drainBound && o.boundsApply(h) {
 		o.reportViolation("DRAIN", "target %s takes a flow %s after it drains, from host %d", t.registration.ID, o.sim.now.Sub(t.drainingSince), h.index)
 	}
+	o.checkZone(h, t)
 	if o.routeRemoved(c) && o.boundsApply(h) {
 		o.reportViolation("CONFIG", "host %d opens a flow on dropped route %s", h.index, c.service)
 	}
@@ -264,6 +267,7 @@
 }
 
 func (o *oracle) result() Result {
+	o.checkReturns()
 	if o.requestsAfterRecovery > 0 && 4*o.servedAfterRecovery < o.requestsAfterRecovery {
 		o.reportViolation("RECOVER", "%d of %d requests served after all hosts were killed", o.servedAfterRecovery, o.requestsAfterRecovery)
 	}
--- a/internal/standin/simulator/scenario.go
+++ b/internal/standin/simulator/scenario.go
@@ -14,6 +14,9 @@
 	HostsPerZone   int `yaml:"hosts_per_zone"`
 	TargetsPerZone int `yaml:"targets_per_zone"`
 	CallersPerZone int `yaml:"callers_per_zone"`
+	// PreviousBuildHosts is the number of hosts, from the first on, that run the build
+	// before evacuations, as during a rolling upgrade.
+	PreviousBuildHosts int `yaml:"previous_build_hosts"`
 	// WarmUp is the time before callers start; the times of faults count from its end.
 	WarmUp Duration `yaml:"lead"`
 	// Length is how long callers send requests.
--- a/internal/standin/simulator/simulator.go
+++ b/internal/standin/simulator/simulator.go
@@ -86,7 +86,7 @@
 // New prepares a run of a scenario with a seed for its random numbers.
 func New(scenario *Scenario, seed uint64) *Simulation {
 	sim := &Simulation{now: simulationStart, random: rand.New(rand.NewPCG(seed, 7)), scenario: scenario, isolatedZones: map[cactuspin.ZoneID]bool{}}
-	sim.oracle = &oracle{sim: sim, executions: map[string]int{}, gracePeriodEnds: map[any]cactuspin.Time{}}
+	sim.oracle = &oracle{sim: sim, executions: map[string]int{}, gracePeriodEnds: map[any]cactuspin.Time{}, zones: map[cactuspin.ZoneID]*zoneRecord{}}
 	sim.store = newStore(sim)
 	sim.routers = &routers{sim: sim}
 	sim.build()
--- a/internal/standin/simulator/store.go
+++ b/internal/standin/simulator/store.go
@@ -36,6 +36,7 @@
 	// unreadable is a target whose registration another writer replaced.
 	unreadable cactuspin.TargetID
 	host       *cactuspin.EntryHost
+	zone       *cactuspin.ZoneState
 }
 
 // store models the platform's store.
@@ -46,6 +47,7 @@
 	targets  map[cactuspin.TargetID]cactuspin.RegisteredTarget
 	// unreadable holds the revisions of the registrations that another writer replaced.
 	unreadable map[cactuspin.TargetID]cactuspin.Revision
+	zones      map[cactuspin.ZoneID]cactuspin.ZoneState
 	hosts      []cactuspin.EntryHost
 	history    []change
 	// compactedRevision is the revision after which history is kept.
@@ -69,7 +71,7 @@
 }
 
 func newStore(s *Simulation) *store {
-	return &store{sim: s, revision: 7, compactedRevision: 7, targets: map[cactuspin.TargetID]cactuspin.RegisteredTarget{}, unreadable: map[cactuspin.TargetID]cactuspin.Revision{}, refusedHosts: map[*host]bool{}}
+	return &store{sim: s, revision: 7, compactedRevision: 7, targets: map[cactuspin.TargetID]cactuspin.RegisteredTarget{}, unreadable: map[cactuspin.TargetID]cactuspin.Revision{}, zones: map[cactuspin.ZoneID]cactuspin.ZoneState{}, refusedHosts: map[*host]bool{}}
 }
 
 func (s *store) commit(c change) cactuspin.Revision {
@@ -165,7 +167,7 @@
 	u := &cactuspin.Update{Full: true, Revision: s.revision}
 	capacity := pageItems
 	if cursor == "" {
-		u.Routing, u.Hosts = s.routing, slices.Clone(s.hosts)
+		u.Routing, u.Hosts, u.Zones = s.routing, slices.Clone(s.hosts), s.evacuatedZones()
 		for _, id := range slices.Sorted(maps.Keys(s.unreadable)) {
 			u.Unreadable = append(u.Unreadable, cactuspin.UnreadableTarget{ID: id, Revision: s.unreadable[id]})
 		}
@@ -217,6 +219,8 @@
 		u.Unreadable = append(u.Unreadable, cactuspin.UnreadableTarget{ID: c.unreadable, Revision: c.revision})
 	case c.host != nil:
 		u.Hosts = append(u.Hosts, *c.host)
+	case c.zone != nil:
+		u.Zones = append(u.Zones, *c.zone)
 	default:
 		u.Removed = append(u.Removed, cactuspin.RemovedTarget{ID: c.removedTarget, Revision: c.revision})
 	}
@@ -245,6 +249,10 @@
 	if u == nil {
 		u = &cactuspin.Update{}
 	}
+	if w.host.previousBuild() {
+		stripped := updateWithoutZones(*u)
+		u = &stripped
+	}
 	w.host.execute(func(out *engine.Actions) { w.host.engine.StoreAnswered(w.host.sim.now, w.call, u, err, out) })
 }
 
