Evacuate zones in the planned soak

The testbed of real processes sets the bound of evacuations, writes and deletes op/evacuate/ZONE, and its oracle counts the flows that open in a zone more than 5 s after its evacuation. The planned soak evacuates one zone after another beside stops, moved routes and odd entries; hosts must know the return of all zones at the end. Evacuations have random numbers of their own, so that seeds keep the order of the other work.

--- a/internal/standin/netemulator/oracle.go
+++ b/internal/standin/netemulator/oracle.go
@@ -21,6 +21,8 @@
 	BrokenFlows int `json:"broken_flows"`
 	// LateFlows counts flows opened at targets that had been draining for too long.
 	LateFlows int `json:"late_flows"`
+	// EvacuatedFlows counts flows opened in zones that had been evacuated for too long.
+	EvacuatedFlows int `json:"evacuated_flows"`
 	// DoubledRuns counts repeated executions of orders.
 	DoubledRuns int `json:"doubled_runs"`
 	// WrongService counts requests executed by a target of another service.
@@ -44,6 +46,8 @@
 	// allowed holds the services to which any configuration so far has led each kind of
 	// work.
 	allowed map[string]map[string]bool
+	// evacuatedSince holds since when zones are evacuated.
+	evacuatedSince map[string]time.Time
 	// unavailableUntil holds the targets that are stopped and when their grace period
 	// after a restart ends; zero means that they do not restart. gracePeriodEnd is when
 	// the time bounds apply again.
@@ -52,7 +56,7 @@
 }
 
 func newOracle() *Oracle {
-	o := &Oracle{executions: map[string]int{}, unavailableUntil: map[netip.AddrPort]time.Time{}, allowed: map[string]map[string]bool{}}
+	o := &Oracle{executions: map[string]int{}, unavailableUntil: map[netip.AddrPort]time.Time{}, allowed: map[string]map[string]bool{}, evacuatedSince: map[string]time.Time{}}
 	for _, kind := range []string{kindFeed, kindOrder, kindDiagram} {
 		o.allow(kind, serviceOf(kind))
 	}
--- a/internal/standin/netemulator/target.go
+++ b/internal/standin/netemulator/target.go
@@ -124,6 +124,7 @@
 	case p.flags&bitRST != 0:
 		delete(t.flows, p.from)
 	case p.flags == bitSYN:
+		t.oracle.flowOpened(t.zone)
 		if !t.drainingSince.IsZero() {
 			t.oracle.flowOpenedWhileDraining(time.Since(t.drainingSince))
 		}
--- a/internal/standin/netemulator/testbed.go
+++ b/internal/standin/netemulator/testbed.go
@@ -41,7 +41,7 @@
 internal_ports: [%[7]d, %[8]d]
 seeds: [%[9]s]
 limits: {memory_mb: 284}
-bounds: {config_apply_ms: 3000, drain_ms: 3000, grace_s: 6, flow_max_s: 60}
+bounds: {config_apply_ms: 3000, drain_ms: 3000, evacuation_ms: 5000, grace_s: 6, flow_max_s: 60}
 platform: {address: "%[10]s"}
 `
 )
@@ -261,6 +261,9 @@
 	return addresses
 }
 
+// ZoneCount returns the number of zones.
+func (tb *Testbed) ZoneCount() int { return tb.cfg.Zones }
+
 // TargetCount returns the number of targets.
 func (tb *Testbed) TargetCount() int { return len(tb.targets) }
 
--- a/test/soak/memory_test.go
+++ b/test/soak/memory_test.go
@@ -100,7 +100,7 @@
 	t.Helper()
 	admin := netip.MustParseAddrPort(hostAddress + ":8166")
 	startedAt := time.Now()
-	for routingVersion(context.Background(), admin) != version {
+	for hostStatus(context.Background(), admin).Version != version {
 		if time.Since(startedAt) > limit {
 			t.Fatalf("version %d is not in force after %s", version, limit)
 		}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -48,6 +48,8 @@
 	// planned limits the faults to planned work and to entries of another writer, which
 	// no open flow and no time bound may suffer from.
 	planned bool
+	// evacuations draws evacuations, apart from the other work, whose order a seed keeps.
+	evacuations *rand.Rand
 	// stopping is held while a host is stopped by plan, as one at a time is.
 	stopping sync.Mutex
 }
@@ -78,7 +80,7 @@
 	program := buildHost(t, directory)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	s := &soak{t: t, random: rand.New(rand.NewPCG(uint64(seed), 3)), planned: planned}
+	s := &soak{t: t, random: rand.New(rand.NewPCG(uint64(seed), 3)), planned: planned, evacuations: rand.New(rand.NewPCG(uint64(seed), 4))}
 	s.setUp(ctx, program, directory, hosts, time.Duration(seconds)*time.Second)
 	defer func() {
 		for _, p := range s.processes {
@@ -89,6 +91,9 @@
 		t.Fatalf("hosts are not ready; logs are in %s", directory)
 	}
 	go s.injectFaults(ctx, time.Duration(seconds)*time.Second)
+	if planned {
+		s.activeFaults.Go(func() { s.evacuateZones(time.Duration(seconds) * time.Second) })
+	}
 	r := s.testbed.RunTraffic(ctx)
 	s.activeFaults.Wait()
 	s.checkReport(ctx, &r, checkTimeBounds)
@@ -172,6 +177,27 @@
 	}
 }
 
+// evacuateZones evacuates one zone after another during the first three quarters of the
+// run, each for longer than hosts may take to apply that, but for the last one.
+func (s *soak) evacuateZones(length time.Duration) {
+	end := time.Now().Add(length * 3 / 4)
+	wait := func(minimum, maximum time.Duration) {
+		d := minimum + time.Duration(s.evacuations.Int64N(int64(maximum-minimum)))
+		time.Sleep(min(d, time.Until(end)))
+	}
+	for {
+		wait(100*time.Millisecond, 2*time.Second)
+		if !time.Now().Before(end) {
+			return
+		}
+		zone := s.evacuations.IntN(s.testbed.ZoneCount())
+		s.t.Logf("zone %d is evacuated", zone+1)
+		s.testbed.Evacuate(zone)
+		wait(6*time.Second, 9*time.Second)
+		s.testbed.Return(zone)
+	}
+}
+
 func (s *soak) putForeignEntry() {
 	kind, target := s.random.IntN(netemulator.ForeignEntryKinds), s.random.IntN(s.testbed.TargetCount())
 	s.t.Logf("another writer's entry of kind %d for target %d", kind, target)
@@ -257,9 +283,10 @@
 	if checkTimeBounds {
 		check("broken flows", r.BrokenFlows == 0, "%d flows at living targets were reset by hosts", r.BrokenFlows)
 		check("late flows", r.LateFlows == 0, "%d flows opened at targets that had drained", r.LateFlows)
+		check("evacuated", r.EvacuatedFlows == 0, "%d flows opened in evacuated zones", r.EvacuatedFlows)
 		check("most served", 2*r.Served > r.Asked, "%d of %d", r.Served, r.Asked)
 	}
-	check("recovered", s.waitForRecovery(ctx), "not all hosts have version %d", s.testbed.ConfigurationVersion())
+	check("recovered", s.waitForRecovery(ctx), "not all hosts have version %d and all zones", s.testbed.ConfigurationVersion())
 	for _, p := range s.processes {
 		p.mu.Lock()
 		check("ended by itself", len(p.unexpectedExits) == 0, "%v", p.unexpectedExits)
@@ -271,13 +298,14 @@
 	fmt.Printf("soak: %d passed, %d failed\n", passed, failed)
 }
 
-// waitForRecovery reports whether all hosts apply the newest configuration within
-// recoveryTimeout.
+// waitForRecovery reports whether all hosts apply the newest configuration, and the return
+// of all zones, within recoveryTimeout.
 func (s *soak) waitForRecovery(ctx context.Context) bool {
 	for startedAt := time.Now(); time.Since(startedAt) < recoveryTimeout; time.Sleep(100 * time.Millisecond) {
 		allCurrent := true
 		for _, a := range s.testbed.AdminAddresses() {
-			allCurrent = allCurrent && routingVersion(ctx, a) == s.testbed.ConfigurationVersion()
+			status := hostStatus(ctx, a)
+			allCurrent = allCurrent && status.Version == s.testbed.ConfigurationVersion() && len(status.EvacuatedZones) == 0
 		}
 		if allCurrent {
 			return true
@@ -286,23 +314,20 @@
 	return false
 }
 
-func routingVersion(ctx context.Context, a netip.AddrPort) uint64 {
+func hostStatus(ctx context.Context, a netip.AddrPort) (status cactuspin.EntryStatus) {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+cactuspin.EntryStatusPath, nil)
 	if err != nil {
-		return 0
+		return status
 	}
 	response, err := http.DefaultClient.Do(r)
 	if err != nil {
-		return 0
+		return status
 	}
 	defer func() { _ = response.Body.Close() }()
-	var status struct {
-		Version uint64 `json:"routing_version"`
-	}
 	if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
-		return 0
+		return cactuspin.EntryStatus{}
 	}
-	return status.Version
+	return status
 }
