End evacuations that a peer's full update lists as returned

A zone stayed evacuated until its key changed again: a host knew of its second evacuation, a peer had seen the first one return and read everything after the second return. The peer's full update listed the earlier return, so that the zone counted as listed, and the return itself was ignored as older.

--- a/internal/knowledge/tracker/model_test.go
+++ b/internal/knowledge/tracker/model_test.go
@@ -286,6 +286,9 @@
 	"one behind a lost history": {
 		"register a", "first page 0", "last page 0", "beacon from 0", "register b", "watch 1", "remove b", "forget",
 	},
+	"one behind the second return of a zone": {
+		"evacuate", "first page 0", "last page 0", "return", "watch 0", "beacon from 0", "evacuate", "watch 1", "return", "forget",
+	},
 	"one behind the return of a zone": {
 		"evacuate", "first page 0", "last page 0", "beacon from 0", "return", "watch 1", "forget",
 	},
--- a/internal/knowledge/tracker/zones.go
+++ b/internal/knowledge/tracker/zones.go
@@ -41,14 +41,15 @@
 	c.Zones = append(c.Zones, ZoneChange{ZoneState: s})
 }
 
-// returnUnlistedZones ends the evacuations that a full update does not list.
+// returnUnlistedZones ends the evacuations that a full update does not list. A peer may list
+// an earlier return of a zone instead, if it did not see the later evacuation.
 func (tr *Tracker) returnUnlistedZones(u *cactuspin.Update, hold time.Duration, c *Change) {
-	listed := make(map[cactuspin.ZoneID]bool, len(u.Zones))
+	evacuated := make(map[cactuspin.ZoneID]bool, len(u.Zones))
 	for _, s := range u.Zones {
-		listed[s.Zone] = true
+		evacuated[s.Zone] = s.Evacuated
 	}
 	for _, zone := range tr.evacuated {
-		if listed[zone] || tr.zones[zone].Revision > u.Revision {
+		if evacuated[zone] || tr.zones[zone].Revision > u.Revision {
 			continue
 		}
 		state := cactuspin.ZoneState{Zone: zone, Revision: u.Revision}
--- a/internal/knowledge/tracker/zones_test.go
+++ b/internal/knowledge/tracker/zones_test.go
@@ -109,6 +109,23 @@
 	g.Expect(tr.Position(now).Evacuated).To(Equal([]cactuspin.ZoneID{"y"}))
 }
 
+// Guards against a zone that stays evacuated for ever: a peer that has read everything knows
+// of an earlier return only, and lists that.
+func TestAFullUpdateWithAnEarlierReturnEndsAnEvacuation(t *testing.T) {
+	g := NewWithT(t)
+	peer, behind := loaded(g), loaded(g)
+	for _, tr := range []*tracker.Tracker{peer, behind} {
+		tr.Merge(now, zoneUpdate(10, 12, zoneState("z", true, 11), zoneState("z", false, 12)))
+	}
+	behind.Merge(now, zoneUpdate(12, 14, zoneState("z", true, 14)))
+	peer.Merge(now, zoneUpdate(0, 20))
+	u, _ := peer.UpdateSince(now, 14)
+	g.Expect(u.Full).To(BeTrue())
+	c, _ := behind.Merge(now, &u)
+	g.Expect(c.Zones).To(HaveLen(1))
+	g.Expect(behind.Position(now).Evacuated).To(BeEmpty(), "it returned between 14 and 20")
+}
+
 // Guards against an evacuation that ends because a page read before it lacks it: its
 // revision is newer than the read.
 func TestAnEvacuationNewerThanAFullReadStays(t *testing.T) {
