Measure the placement of displaced flows

Adds a benchmark of new flows whose zone, or all zones, are evacuated, and a test of zones that change while packets are steered, for -race.

--- a/internal/steering/balancer/balancer_benchmark_test.go
+++ b/internal/steering/balancer/balancer_benchmark_test.go
@@ -125,3 +125,25 @@
 		}
 	})
 }
+
+// BenchmarkDisplacedSYN measures the placement of a flow whose zone is evacuated, and of one
+// if all zones are.
+func BenchmarkDisplacedSYN(b *testing.B) {
+	for _, n := range []int{20, 2_000, 20_000} {
+		for name, zones := range map[string][]cactuspin.ZoneID{"own": {"a"}, "all": {"a", "b", "c"}} {
+			b.Run(fmt.Sprintf("evacuated=%s/targets=%d", name, n), func(b *testing.B) {
+				lb := newBalancer(1, "a", "b", "c")
+				c := tracker.Change{}
+				for i := range n {
+					c.Targets = append(c.Targets, registered(100+i, "desk", []string{"a", "b", "c"}[i%3]))
+				}
+				lb.Apply(now, &c)
+				lb.Apply(now, evacuate(true, zones...))
+				p := syn(1, feeds, 0)
+				for b.Loop() {
+					lb.Steer(now, p)
+				}
+			})
+		}
+	}
+}
--- a/internal/steering/balancer/evacuation_test.go
+++ b/internal/steering/balancer/evacuation_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"sync"
 	"testing"
 	"time"
 
@@ -225,3 +226,23 @@
 		}
 	}
 }
+
+// Guards against states of zones that change while packets are steered; it needs -race.
+func TestZonesChangeWhilePacketsAreSteered(t *testing.T) {
+	b := newBalancer(1, "a", "b", "c")
+	var group sync.WaitGroup
+	for n := range 3 {
+		group.Go(func() {
+			for port := range 500 {
+				b.Steer(now, syn(1000*n+port, feeds, uint32(port%2)))
+				b.Explain(now, caller(port), feeds)
+			}
+		})
+	}
+	for i := range 200 {
+		b.Apply(now, evacuate(i%2 == 0, "a", "unknown"))
+		b.HasTargets("a")
+		b.MergeLoads(b.Loads())
+	}
+	group.Wait()
+}
