--- a/internal/steering/balancer/evacuation_test.go
+++ b/internal/steering/balancer/evacuation_test.go
@@ -186,6 +186,25 @@
 	return false
 }
 
+// checkShares checks that of a number of flows no zone but the first one, which is evacuated,
+// got more than its share of the free slots.
+func checkShares(g *WithT, zones []zoneOfTargets, chosen map[int]int, total float64) {
+	g.Expect(chosen[1]).To(BeZero(), "zone a is evacuated")
+	free := 0
+	for _, z := range zones[1:] {
+		free += max(0, z.free())
+	}
+	for i, z := range zones[1:] {
+		share := 1 / float64(len(zones)-1)
+		if free > 0 {
+			share = float64(max(0, z.free())) / float64(free)
+		}
+		// A zone may get more than its share by chance: five standard deviations of at most
+		// half the root of the number of flows.
+		g.Expect(float64(chosen[i+2])).To(BeNumerically("<=", share*total+2.5*math.Sqrt(total)), "zone %s of %v", z.name, chosen)
+	}
+}
+
 // Guards against the load of an evacuated zone that overruns the least loaded of the other
 // zones: many hosts choose at once, before any of them knows what the others chose.
 func TestDisplacedLoadIsSpreadByFreeSlots(t *testing.T) {
@@ -200,28 +219,14 @@
 	} {
 		for _, hosts := range []int{28, 84} {
 			t.Run(fmt.Sprintf("%s, %d hosts", name, hosts), func(t *testing.T) {
-				g := NewWithT(t)
-				chosen, free := map[int]int{}, 0
+				chosen := map[int]int{}
 				for _, b := range fleet(hosts, zones) {
 					b.Apply(now, evacuate(true, "a"))
 					for port := range flowsPerHost {
 						chosen[int(b.Steer(now, syn(port, feeds, 0)).TargetNumber)/1000]++
 					}
 				}
-				for _, z := range zones[1:] {
-					free += max(0, z.free())
-				}
-				g.Expect(chosen[1]).To(BeZero(), "zone a is evacuated")
-				total := float64(hosts * flowsPerHost)
-				for i, z := range zones[1:] {
-					share := 1 / float64(len(zones)-1)
-					if free > 0 {
-						share = float64(max(0, z.free())) / float64(free)
-					}
-					// A zone may get more than its share by chance: five standard deviations
-					// of at most half the root of the number of flows.
-					g.Expect(float64(chosen[i+2])).To(BeNumerically("<=", share*total+2.5*math.Sqrt(total)), "zone %s of %v", z.name, chosen)
-				}
+				checkShares(NewWithT(t), zones, chosen, float64(hosts*flowsPerHost))
 			})
 		}
 	}
