Order knowledge by the era of the store

A store that comes back from a backup goes back in its revisions and gives them out again, so that hosts kept what they knew for newer than what the store has. The first full update of a newer era replaces all revisions.

--- a/entrystatus.go
+++ b/entrystatus.go
@@ -3,11 +3,14 @@
 // EntryStatus is what a host of the packet path reports to operators at
 // EntryStatusPath. Durations are in seconds.
 type EntryStatus struct {
-	Host         string   `json:"host"`
-	Zone         string   `json:"zone"`
-	Build        string   `json:"build"`
-	Version      uint64   `json:"routing_version"`
-	Revision     uint64   `json:"revision"`
+	Host     string `json:"host"`
+	Zone     string `json:"zone"`
+	Build    string `json:"build"`
+	Version  uint64 `json:"routing_version"`
+	Revision uint64 `json:"revision"`
+	// StoreEra is the era of the revision: the number of restores of the store, or 0 if
+	// it names none.
+	StoreEra     uint64   `json:"store_era"`
 	KnowledgeAge float64  `json:"knowledge_age_s"`
 	Targets      int      `json:"targets"`
 	TargetsDown  []string `json:"targets_down,omitempty"`
--- a/internal/app/entry/admin.go
+++ b/internal/app/entry/admin.go
@@ -30,7 +30,7 @@
 	s := h.status()
 	report := cactuspin.EntryStatus{
 		Host: h.settings.Load().Name, Zone: string(h.settings.Load().Zone), Build: Build,
-		Version: uint64(s.RoutingVersion), Revision: uint64(s.Revision), KnowledgeAge: s.Age.Seconds(),
+		Version: uint64(s.RoutingVersion), StoreEra: uint64(s.Era), Revision: uint64(s.Revision), KnowledgeAge: s.Age.Seconds(),
 		Targets: s.Targets, Flows: s.Flows, Peers: s.Peers, ReadsStore: s.Reading, Leaving: s.Leaving,
 		Ready: h.engine.Ready(h.common.Clock()), PacketsByReason: map[string]uint64{},
 		LinesSuppressed: h.reporter.Suppressed(), LinesDropped: h.writer.Dropped(),
--- a/internal/app/entry/host.go
+++ b/internal/app/entry/host.go
@@ -149,6 +149,9 @@
 		h.common.Logger.Info("flow: reset", slog.String("caller", r.Caller.String()), slog.String("service", r.Service.String()),
 			slog.String("target", string(r.Target)), slog.String("reason", cactuspin.ReasonTargetDown.String()))
 	}
+	if out.Announce {
+		h.storeClient.Reannounce()
+	}
 	for _, p := range out.Probes {
 		h.prober.Probe(p)
 	}
--- a/internal/entry/engine/actions.go
+++ b/internal/entry/engine/actions.go
@@ -19,8 +19,10 @@
 	// changes after After are watched for at most Wait.
 	FullRead bool
 	From     cactuspin.Cursor
-	After    cactuspin.Revision
-	Wait     time.Duration
+	// Era is the era of After and of the pages read before.
+	Era   cactuspin.Era
+	After cactuspin.Revision
+	Wait  time.Duration
 	// SentAt is the time of the call.
 	SentAt cactuspin.Time
 }
@@ -31,10 +33,11 @@
 	Datagram encoder.Datagram
 }
 
-// Fetch asks the driver to fetch the changes after a revision from a peer; the
+// Fetch asks the driver to fetch the changes after a revision of an era from a peer; the
 // result is passed to Engine.Fetched. At most one fetch is in progress.
 type Fetch struct {
 	Host   netip.Addr
+	Era    cactuspin.Era
 	After  cactuspin.Revision
 	SentAt cactuspin.Time
 }
@@ -53,7 +56,9 @@
 	Fetch  *Fetch
 	Probes []balancer.Probe
 	Resets []balancer.Reset
-	Notes  []Note
+	// Announce asks the driver to announce this host again at once, under a new lease.
+	Announce bool
+	Notes    []Note
 }
 
 func (a *Actions) send(to []netip.Addr, d encoder.Datagram) {
@@ -100,6 +105,13 @@
 			slog.Uint64("cookie", uint64(balancer.CookieOf(t.ID))),
 		}, common...)...)
 	}
+	if c.EraBegan {
+		out.note(slog.LevelWarn, "knowledge: era began", append([]slog.Attr{
+			slog.Uint64("era", uint64(position.Era)), slog.Uint64("revision", uint64(position.Revision)),
+			slog.Uint64("version", uint64(position.RoutingVersion)), slog.Int("unchanged", len(c.Renumbered)),
+			slog.Int("changed", len(c.Targets)), slog.Int("reappeared", len(c.Reappeared)), slog.Int("missing", len(c.Removed)),
+		}, common...)...)
+	}
 	if len(c.Unreadable) > 0 {
 		out.note(slog.LevelWarn, "knowledge: registrations unreadable", append([]slog.Attr{slog.Int("unknown_targets", len(c.Unreadable))}, common...)...)
 	}
--- a/internal/entry/engine/engine.go
+++ b/internal/entry/engine/engine.go
@@ -186,6 +186,8 @@
 		return true
 	}
 	e.balancer.Apply(now, &c)
+	// The store has lost the announcement, or has it under a lease of another host.
+	out.Announce = out.Announce || c.EraBegan
 	noteChange(&c, position, first, source, out)
 	for _, z := range position.Evacuated {
 		changed := slices.ContainsFunc(c.Zones, func(x tracker.ZoneChange) bool { return x.Zone == z })
--- a/internal/entry/engine/peers.go
+++ b/internal/entry/engine/peers.go
@@ -33,7 +33,8 @@
 // beacon returns a beacon without loads.
 func (e *Engine) beacon(now cactuspin.Time) encoder.Beacon {
 	p := e.tracker.Position(now)
-	return encoder.Beacon{
+	b := encoder.Beacon{
+		Era:               p.Era,
 		Host:              e.c.Self,
 		Incarnation:       e.c.Incarnation,
 		Revision:          p.Revision,
@@ -46,6 +47,10 @@
 		Complete:          p.Complete,
 		Leaving:           e.leaving,
 	}
+	if p.Era > 0 {
+		b.Version = p.RoutingVersion
+	}
+	return b
 }
 
 // Datagram handles a datagram from a peer.
@@ -76,13 +81,13 @@
 	if !b.Complete || now < e.trustAfter || e.hidesZones(b.KnowsZones) {
 		return
 	}
-	confirmation := tracker.Confirmation{Revision: b.Revision, LastChange: b.LastChange, Age: b.Age, HealthyFor: b.HealthyFor, Reader: b.Reader}
+	position := e.tracker.Position(now)
+	if b.Era < position.Era {
+		return
+	}
+	confirmation := tracker.Confirmation{Era: b.Era, Version: b.Version, Revision: b.Revision, LastChange: b.LastChange, Age: b.Age, HealthyFor: b.HealthyFor, Reader: b.Reader}
 	if !e.tracker.Confirm(now, confirmation) {
-		// A host that has just read everything cannot tell whether anything has changed.
-		// While the knowledge is fresh, another host reads and will tell.
-		if !b.LastChangeUnknown || e.tracker.Position(now).Age > e.c.maxAge() {
-			e.fetch(now, b.Host.Address, out)
-		}
+		e.fetchFromSender(now, b, position, out)
 		return
 	}
 	e.balancer.SetFreshness(now, e.tracker.Position(now))
@@ -93,13 +98,31 @@
 // knowledge during a rolling upgrade; this host then reads the store itself.
 func (e *Engine) hidesZones(known bool) bool { return e.c.Evacuations && !known }
 
+// fetchFromSender requests what a beacon shows to be missing, unless another host will tell.
+func (e *Engine) fetchFromSender(now cactuspin.Time, b *encoder.Beacon, known tracker.Position, out *Actions) {
+	switch {
+	case b.Era == known.Era && known.Complete && b.LastChange <= known.Revision:
+		// Only the routing is newer, and no revision of this era shows it.
+		e.fetchSince(now, b.Host.Address, 0, out)
+	case b.Era > known.Era || !b.LastChangeUnknown || known.Age > e.c.maxAge():
+		e.fetch(now, b.Host.Address, out)
+	default:
+		// A host that has just read everything cannot tell whether anything has changed.
+		// While the knowledge is fresh, another host reads and will tell.
+	}
+}
+
 // fetch requests the missing changes from a peer unless a fetch is in progress.
 func (e *Engine) fetch(now cactuspin.Time, host netip.Addr, out *Actions) {
+	e.fetchSince(now, host, e.tracker.Position(now).Revision, out)
+}
+
+func (e *Engine) fetchSince(now cactuspin.Time, host netip.Addr, after cactuspin.Revision, out *Actions) {
 	if e.fetching || !e.planner.BeginFetch(now, host) {
 		return
 	}
 	e.fetching = true
-	out.Fetch = &Fetch{Host: host, After: e.tracker.Position(now).Revision, SentAt: now}
+	out.Fetch = &Fetch{Host: host, Era: e.tracker.Position(now).Era, After: after, SentAt: now}
 }
 
 // maxFullUpdates limits the full updates that a host sends at a time. Hosts
@@ -116,21 +139,27 @@
 const (
 	// ErrNoKnowledge reports that the knowledge of the host is incomplete.
 	ErrNoKnowledge = updateError("nothing known yet")
+	// ErrOlderEra reports that the knowledge of the host is of an older era than that of
+	// the peer.
+	ErrOlderEra = updateError("knowledge of an older era")
 	// ErrBusy reports that the host is already sending the maximum number of
 	// full updates.
 	ErrBusy = updateError("busy sending updates")
 )
 
 // UpdateSince returns the changes that a peer with complete knowledge up to a
-// revision is missing. The caller has to call UpdateSent after each update.
-func (e *Engine) UpdateSince(now cactuspin.Time, after cactuspin.Revision) (u cactuspin.Update, err error) {
+// revision of an era is missing. The caller has to call UpdateSent after each update.
+func (e *Engine) UpdateSince(now cactuspin.Time, era cactuspin.Era, after cactuspin.Revision) (u cactuspin.Update, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.fullUpdates >= maxFullUpdates && e.tracker.NeedsFullUpdate(after) {
+	if e.fullUpdates >= maxFullUpdates && e.tracker.NeedsFullUpdate(era, after) {
 		return u, ErrBusy
 	}
-	u, ok := e.tracker.UpdateSince(now, after)
-	if !ok {
+	u, ok := e.tracker.UpdateForEra(now, era, after)
+	switch {
+	case !ok && e.tracker.Position(now).Complete:
+		return u, ErrOlderEra
+	case !ok:
 		return u, ErrNoKnowledge
 	}
 	if u.Full {
--- a/internal/entry/engine/reading.go
+++ b/internal/entry/engine/reading.go
@@ -38,12 +38,17 @@
 // the last page, otherwise nil.
 func (e *Engine) readPage(now cactuspin.Time, c *StoreCall, u *cactuspin.Update) *cactuspin.Update {
 	if c.From == "" {
-		e.store.fullRead = &fullRead{began: c.SentAt, update: cactuspin.Update{Full: true, Revision: u.Revision}}
+		e.store.fullRead = &fullRead{began: c.SentAt, update: cactuspin.Update{Full: true, Era: u.Era, Revision: u.Revision}}
 	}
 	r := e.store.fullRead
 	if r == nil || r.update.Next != c.From {
 		return nil
 	}
+	if r.update.Era != u.Era {
+		// The pages of two eras do not belong together.
+		e.store.fullRead = nil
+		return nil
+	}
 	position := e.tracker.Position(now)
 	e.planner.AddPeers(now, u.Hosts, position.Complete)
 	complete := r.add(now, u)
@@ -51,14 +56,14 @@
 		e.reading = e.planner.ShouldRead(now, position, true)
 		return nil
 	}
-	e.store.fullRead, e.store.historyLost = nil, false
+	e.store.fullRead, e.store.historyLost, e.store.restored = nil, false, false
 	return complete
 }
 
 // nextPage returns the start of the next page of a full read. A read is
 // abandoned if the host got complete knowledge from a peer meanwhile.
 func (e *Engine) nextPage(complete bool) cactuspin.Cursor {
-	if complete && !e.store.historyLost {
+	if complete && !e.store.historyLost && !e.store.restored {
 		e.store.fullRead = nil
 	}
 	if e.store.fullRead == nil {
--- a/internal/entry/engine/reading_test.go
+++ b/internal/entry/engine/reading_test.go
@@ -90,21 +90,21 @@
 func TestNumberOfConcurrentFullUpdatesIsLimited(t *testing.T) {
 	g := NewWithT(t)
 	e := newEngine()
-	_, err := e.UpdateSince(now, 0)
+	_, err := e.UpdateSince(now, 0, 0)
 	g.Expect(err).To(MatchError(engine.ErrNoKnowledge))
 	e, _ = loaded(g)
 	var sent []cactuspin.Update
 	for err = error(nil); err == nil && len(sent) < 20; {
 		var u cactuspin.Update
-		if u, err = e.UpdateSince(now, 0); err == nil {
+		if u, err = e.UpdateSince(now, 0, 0); err == nil {
 			sent = append(sent, u)
 		}
 	}
 	g.Expect(err).To(MatchError(engine.ErrBusy))
 	g.Expect(len(sent)).To(BeNumerically("<", 5))
-	_, err = e.UpdateSince(now, 10)
+	_, err = e.UpdateSince(now, 0, 10)
 	g.Expect(err).NotTo(HaveOccurred(), "a partial update is small")
 	e.UpdateSent(&sent[0])
-	_, err = e.UpdateSince(now, 0)
+	_, err = e.UpdateSince(now, 0, 0)
 	g.Expect(err).NotTo(HaveOccurred())
 }
--- a/internal/entry/engine/store.go
+++ b/internal/entry/engine/store.go
@@ -32,6 +32,10 @@
 	// historyLost reports that the store no longer has the changes after the
 	// known revision, or has no usable answer with them.
 	historyLost bool
+	// era is the newest era that an answer named; restored reports that the knowledge is
+	// older, so that the store has to be read in whole.
+	era      cactuspin.Era
+	restored bool
 	// unusable counts the answers in a row that could not be used.
 	unusable int
 	// fullRead is the full read in progress, or nil.
@@ -45,8 +49,10 @@
 	}
 	position := e.tracker.Position(now)
 	e.store.calling = true
+	e.store.restored = e.store.era > position.Era
 	out.Store = &StoreCall{
-		FullRead: !position.Complete || e.store.historyLost,
+		FullRead: !position.Complete || e.store.historyLost || e.store.restored,
+		Era:      position.Era,
 		From:     e.nextPage(position.Complete),
 		After:    position.Revision,
 		Wait:     e.c.MaxStaleness * watchWaitPercent / 100,
@@ -59,9 +65,16 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.store.calling = false
+	if u == nil {
+		u = &cactuspin.Update{}
+	}
+	restored := e.recordEra(now, u, out)
 	if errors.Is(err, cactuspin.ErrHistoryLost) {
-		out.note(slog.LevelWarn, "store: history lost, reading everything", slog.Uint64("revision", uint64(c.After)))
-		e.store.historyLost = true
+		// Of a revision of another era, the store has no history in any case.
+		if !restored && c.Era == e.tracker.Position(now).Era {
+			out.note(slog.LevelWarn, "store: history lost, reading everything", slog.Uint64("revision", uint64(c.After)))
+			e.store.historyLost = true
+		}
 		e.call(now, out)
 		return
 	}
@@ -70,6 +83,15 @@
 		e.handleStoreError(now, err, out)
 		return
 	}
+	if u.Era < max(e.store.era, e.tracker.Position(now).Era) {
+		e.handleStoreError(now, errOlderEra, out)
+		return
+	}
+	if !c.FullRead && (restored || u.Era != c.Era) {
+		// The changes were counted in another era than the revision that was asked for.
+		e.call(now, out)
+		return
+	}
 	e.handleStoreAnswer(now, c, u, out)
 	e.call(now, out)
 }
--- a/internal/entry/gossiper/gossiper.go
+++ b/internal/entry/gossiper/gossiper.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -150,8 +151,8 @@
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	address := netip.AddrPortFrom(f.Host, g.cfg.KnowledgePort).String()
-	url := "http://" + address + KnowledgePath + "?after=" + strconv.FormatUint(uint64(f.After), 10)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	q := url.Values{"after": {strconv.FormatUint(uint64(f.After), 10)}, "era": {strconv.FormatUint(uint64(f.Era), 10)}}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+KnowledgePath+"?"+q.Encode(), nil)
 	if err != nil {
 		return u, errors.WithStack(err)
 	}
@@ -172,12 +173,21 @@
 
 // ServeHTTP serves updates to peers.
 func (g *Gossiper) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	q := r.URL.Query()
+	after, err := strconv.ParseUint(q.Get("after"), 10, 64)
 	if err != nil {
 		http.Error(w, "after is not a number", http.StatusBadRequest)
 		return
 	}
-	u, err := g.cfg.Engine.UpdateSince(g.cfg.Clock(), cactuspin.Revision(after))
+	era := uint64(g.cfg.Engine.Status(g.cfg.Clock()).Era)
+	// Hosts of the previous build do not know eras. To them, the revisions are all there is.
+	if q.Has("era") {
+		if era, err = strconv.ParseUint(q.Get("era"), 10, 64); err != nil {
+			http.Error(w, "era is not a number", http.StatusBadRequest)
+			return
+		}
+	}
+	u, err := g.cfg.Engine.UpdateSince(g.cfg.Clock(), cactuspin.Era(era), cactuspin.Revision(after))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
 		return
--- a/internal/entry/meter/meter.go
+++ b/internal/entry/meter/meter.go
@@ -88,9 +88,9 @@
 // instruments are the instruments that are observed when the metrics are
 // collected.
 type instruments struct {
-	age                                                       metric.Float64ObservableGauge
-	version, revision, targets, down, evacuated, flows, peers metric.Int64ObservableGauge
-	verdicts, malformed, unsent, io, lost                     metric.Int64ObservableCounter
+	age                                                            metric.Float64ObservableGauge
+	version, era, revision, targets, down, evacuated, flows, peers metric.Int64ObservableGauge
+	verdicts, malformed, unsent, io, lost                          metric.Int64ObservableCounter
 }
 
 func (m *Meter) observe(meter metric.Meter) (err error) {
@@ -108,6 +108,7 @@
 	}
 	i.version = gauge("cactuspin.routing.version", "Version of the routes in force.")
 	i.revision = gauge("cactuspin.knowledge.revision", "Revision of the store that is known.")
+	i.era = gauge("cactuspin.store.era", "Era of the store: it grows with each restore from a backup.")
 	i.targets = gauge("cactuspin.targets", "Registered targets.")
 	i.down = gauge("cactuspin.targets.down", "Targets that answer neither packets nor probes.")
 	i.evacuated = gauge("cactuspin.zones.evacuated", "Zones whose targets get no new flows.")
@@ -125,7 +126,7 @@
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		m.collect(o, &i)
 		return nil
-	}, i.age, i.version, i.revision, i.targets, i.down, i.evacuated, i.flows, i.peers, i.verdicts, i.malformed, i.unsent, i.io, i.lost)
+	}, i.age, i.version, i.era, i.revision, i.targets, i.down, i.evacuated, i.flows, i.peers, i.verdicts, i.malformed, i.unsent, i.io, i.lost)
 	return errors.WithStack(err)
 }
 
@@ -133,6 +134,7 @@
 	s, f := m.cfg.Status(), m.cfg.Counters()
 	o.ObserveFloat64(i.age, s.Age.Seconds())
 	o.ObserveInt64(i.version, int64(s.RoutingVersion))
+	o.ObserveInt64(i.era, int64(s.Era))
 	o.ObserveInt64(i.revision, int64(s.Revision))
 	o.ObserveInt64(i.targets, int64(s.Targets))
 	o.ObserveInt64(i.down, int64(len(s.Down)))
--- a/internal/entry/storeclient/storeclient.go
+++ b/internal/entry/storeclient/storeclient.go
@@ -42,8 +42,10 @@
 type Client struct {
 	cfg    Config
 	stores atomic.Pointer[stores]
-	lease  cactuspin.LeaseID
-	done   chan error
+	lease  cactuspin.Lease
+	// renew wakes the goroutine that announces the host.
+	renew chan struct{}
+	done  chan error
 }
 
 // stores are the current clients of the store. Each is used by one goroutine.
@@ -51,7 +53,7 @@
 
 // New returns a Client.
 func New(c Config) *Client {
-	client := &Client{cfg: c, done: make(chan error, 1)}
+	client := &Client{cfg: c, renew: make(chan struct{}, 1), done: make(chan error, 1)}
 	client.SetStores(c.Store, c.AnnouncementStore)
 	return client
 }
@@ -84,6 +86,15 @@
 // Done.
 func (c *Client) Start(ctx context.Context) { go func() { c.done <- c.run(ctx) }() }
 
+// Reannounce announces this host again at once, because the store was restored. The lease
+// is replaced, since its ID may belong to another host now.
+func (c *Client) Reannounce() {
+	select {
+	case c.renew <- struct{}{}:
+	default:
+	}
+}
+
 // Done returns the channel that reports the end of the announcements.
 func (c *Client) Done() <-chan error { return c.done }
 
@@ -97,6 +108,8 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
+		case <-c.renew:
+			c.lease = cactuspin.Lease{}
 		case <-time.After(delay):
 		}
 	}
@@ -106,11 +119,15 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	s := c.stores.Load().announcements
-	if c.lease != 0 {
+	if c.lease.ID != 0 {
 		if err = s.Renew(ctx, c.lease); !errors.Is(err, cactuspin.ErrLeaseEnded) {
 			return err
 		}
 	}
 	c.lease, err = s.Announce(ctx, c.cfg.Self, leaseDuration)
+	if err != nil {
+		// The announcement is missing even if its lease exists, so that renewing is not enough.
+		c.lease = cactuspin.Lease{}
+	}
 	return err
 }
--- a/internal/knowledge/encoder/encoder.go
+++ b/internal/knowledge/encoder/encoder.go
@@ -125,6 +125,11 @@
 	LastChangeUnknown bool `cbor:"14,keyasint,omitempty"`
 	// KnowsZones reports that the host follows the states of zones, see Update.
 	KnowsZones bool `cbor:"20,keyasint,omitempty"`
+	// Era is the era of the revisions.
+	Era cactuspin.Era `cbor:"15,keyasint,omitempty"`
+	// Version is the version of the routing in force; 0 in era 0, in which the revision
+	// tells it.
+	Version cactuspin.RoutingVersion `cbor:"16,keyasint,omitempty"`
 }
 
 // Datagram is a datagram between hosts; exactly one field is set.
--- a/internal/knowledge/planner/planner.go
+++ b/internal/knowledge/planner/planner.go
@@ -83,6 +83,8 @@
 	// reported is set when HandleBeacon reports the host as new and cleared
 	// when Tick reports it as unresponsive.
 	reported bool
+	// era is the era of the host's knowledge at its last beacon.
+	era cactuspin.Era
 	// age is the age of the host's knowledge at its last beacon, reader the host whose
 	// read of the store that is based on.
 	age          time.Duration
@@ -157,7 +159,7 @@
 	isNew = regular && (x.incarnation != b.Incarnation || !x.reported)
 	x.reported = x.reported || regular
 	x.EntryHost, x.incarnation, x.lastBeacon, x.leaving = b.Host, b.Incarnation, now, b.Leaving
-	x.age, x.reader, x.loads, x.total, x.down = b.Age, b.Reader, b.Loads, b.Total, b.Down
+	x.era, x.age, x.reader, x.loads, x.total, x.down = b.Era, b.Age, b.Reader, b.Loads, b.Total, b.Down
 	return isNew
 }
 
@@ -221,7 +223,7 @@
 // no leader of another zone takes precedence. Any other host reads if its
 // knowledge is too old; if it is incomplete, continuesFullRead decides.
 func (p *Planner) shouldRead(now cactuspin.Time, known tracker.Position, rank int, firstPageRead bool) bool {
-	if rank == 0 && !p.hasPrecedingLeader(now, known.Age) {
+	if rank == 0 && !p.hasPrecedingLeader(now, known) {
 		return true
 	}
 	if !known.Complete {
@@ -231,7 +233,7 @@
 		p.readUntil = now.Add(minReadTime)
 		return true
 	}
-	if p.hasReaderInstead(now) {
+	if p.hasReaderInstead(now, known.Era) {
 		p.readUntil = 0
 	}
 	return now < p.readUntil
@@ -240,11 +242,10 @@
 // hasReaderInstead reports whether a host of this zone that takes precedence over
 // this one has fresh knowledge which another host read. Without this, all hosts
 // would go on reading after an outage of the store, when there is the most to read.
-func (p *Planner) hasReaderInstead(now cactuspin.Time) bool {
+func (p *Planner) hasReaderInstead(now cactuspin.Time, era cactuspin.Era) bool {
 	for a, x := range p.peers {
 		preceding := x.Zone == p.c.Self.Zone && !x.leaving && a.Less(p.c.Self.Address)
-		since := now.Sub(x.lastBeacon)
-		if preceding && since <= livenessTimeout && x.age+since <= p.c.MaxAge && x.reader.IsValid() && x.reader != p.c.Self.Address {
+		if preceding && now.Sub(x.lastBeacon) <= livenessTimeout && x.fresh(now, era, p.c.MaxAge) && x.reader.IsValid() && x.reader != p.c.Self.Address {
 			return true
 		}
 	}
@@ -254,19 +255,24 @@
 // hasPrecedingLeader reports whether a leader of another zone has fresh knowledge
 // and takes precedence over this host, because its address is lower or this
 // host's knowledge is too old.
-func (p *Planner) hasPrecedingLeader(now cactuspin.Time, age time.Duration) bool {
+func (p *Planner) hasPrecedingLeader(now cactuspin.Time, known tracker.Position) bool {
 	for a, x := range p.peers {
 		if x.Zone == p.c.Self.Zone || x.leaving || now.Sub(x.lastBeacon) > livenessTimeout {
 			continue
 		}
-		fresh := x.age+now.Sub(x.lastBeacon) <= p.c.MaxAge
-		if fresh && (a.Less(p.c.Self.Address) || age > p.c.MaxAge) {
+		if x.fresh(now, known.Era, p.c.MaxAge) && (a.Less(p.c.Self.Address) || known.Age > p.c.MaxAge) {
 			return true
 		}
 	}
 	return false
 }
 
+// fresh reports whether the host's knowledge is not too old. Knowledge of an era before
+// era, that of this host, is no longer current, however recent it is.
+func (x *peer) fresh(now cactuspin.Time, era cactuspin.Era, maxAge time.Duration) bool {
+	return x.era >= era && x.age+now.Sub(x.lastBeacon) <= maxAge
+}
+
 // newlyUnresponsive returns the hosts that were reported as new and whose
 // beacons have stopped.
 func (p *Planner) newlyUnresponsive(now cactuspin.Time) (hosts []netip.Addr) {
--- a/internal/knowledge/tracker/tracker.go
+++ b/internal/knowledge/tracker/tracker.go
@@ -41,11 +41,17 @@
 	Zones []ZoneChange
 	// OmittedZones counts states of zones that were ignored because too many are known.
 	OmittedZones int
+	// EraBegan reports that the knowledge is of a newer era than before. Renumbered then
+	// lists targets of which only the revision changed, Reappeared those of Targets whose
+	// registration had ended before.
+	EraBegan   bool
+	Renumbered []cactuspin.RegisteredTarget
+	Reappeared []cactuspin.TargetID
 }
 
 // Empty reports whether nothing changed.
 func (c *Change) Empty() bool {
-	return c.Routing == nil && len(c.Targets) == 0 && len(c.Removed) == 0 && len(c.Unreadable) == 0 && len(c.Zones) == 0 && c.OmittedZones == 0
+	return !c.EraBegan && c.Routing == nil && len(c.Targets) == 0 && len(c.Removed) == 0 && len(c.Unreadable) == 0 && len(c.Zones) == 0 && c.OmittedZones == 0
 }
 
 // Removal is a registration that ended.
@@ -59,6 +65,8 @@
 // for concurrent use.
 type Tracker struct {
 	mu sync.Mutex
+	// era is the era to which all revisions belong.
+	era cactuspin.Era
 	// revision is the revision up to which the knowledge is complete.
 	revision cactuspin.Revision
 	// lastChange is the revision after which nothing has changed up to revision.
@@ -81,6 +89,8 @@
 	unreadable map[cactuspin.TargetID]cactuspin.Revision
 	// removed holds the revisions of ended registrations.
 	removed map[cactuspin.TargetID]cactuspin.Revision
+	// ended holds the IDs of registrations that ended in earlier eras.
+	ended map[cactuspin.TargetID]bool
 	// zones holds the states of the zones that were ever evacuated, evacuated the names
 	// of those that are, sorted. The slice is replaced and never changed.
 	zones     map[cactuspin.ZoneID]cactuspin.ZoneState
@@ -100,12 +110,14 @@
 		targets:    map[cactuspin.TargetID]cactuspin.RegisteredTarget{},
 		unreadable: map[cactuspin.TargetID]cactuspin.Revision{},
 		removed:    map[cactuspin.TargetID]cactuspin.Revision{},
+		ended:      map[cactuspin.TargetID]bool{},
 		zones:      map[cactuspin.ZoneID]cactuspin.ZoneState{},
 	}
 }
 
 // Position is the extent and the age of a host's knowledge.
 type Position struct {
+	Era        cactuspin.Era
 	Revision   cactuspin.Revision
 	LastChange cactuspin.Revision
 	// LastChangeUnknown reports that the last change may have been before LastChange.
@@ -127,7 +139,7 @@
 func (tr *Tracker) Position(now cactuspin.Time) Position {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	p := Position{Revision: tr.revision, LastChange: tr.lastChange, Age: tr.age(now), Complete: tr.complete, Loaded: tr.loaded(), Targets: len(tr.targets), Reader: tr.reader, Evacuated: tr.evacuated}
+	p := Position{Era: tr.era, Revision: tr.revision, LastChange: tr.lastChange, Age: tr.age(now), Complete: tr.complete, Loaded: tr.loaded(), Targets: len(tr.targets), Reader: tr.reader, Evacuated: tr.evacuated}
 	p.LastChangeUnknown = tr.lastChangeUnknown()
 	p.HealthyFor = max(0, now.Sub(tr.healthySince))
 	if tr.routing != nil {
@@ -151,41 +163,70 @@
 
 // Merge applies an update. It reports false and changes nothing if the update
 // starts after the revision of the knowledge, because the changes in between
-// are missing.
+// are missing, or if it lists changes of a newer era. An update of an older era
+// changes nothing.
 func (tr *Tracker) Merge(now cactuspin.Time, u *cactuspin.Update) (c Change, ok bool) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	if !u.Full && (!tr.complete || u.After > tr.revision) {
+	if tr.older(u.Era) {
+		return c, true
+	}
+	if !u.Full && (!tr.complete || u.Era > tr.era || u.After > tr.revision) {
 		return c, false
 	}
+	if tr.complete && u.Era > tr.era {
+		return tr.restore(now, u), true
+	}
+	tr.era = u.Era
+	tr.apply(now, u, &c)
+	return c, true
+}
+
+// hold returns how long a target without a registration may still be alive.
+func (tr *Tracker) hold(now cactuspin.Time) time.Duration {
+	return max(0, reregistrationTimeout-now.Sub(tr.healthySince))
+}
+
+// apply applies an update of the present era from which no changes are missing.
+func (tr *Tracker) apply(now cactuspin.Time, u *cactuspin.Update, c *Change) {
 	tr.healthySince = max(tr.healthySince, now.Add(-u.HealthyFor))
-	hold := max(0, reregistrationTimeout-now.Sub(tr.healthySince))
+	hold := tr.hold(now)
 	if u.Full && u.Revision >= tr.revision {
-		tr.removeUnlisted(u, hold, &c)
+		tr.removeUnlisted(u, hold, c)
 		if u.KnowsZones {
-			tr.returnUnlistedZones(u, hold, &c)
+			tr.returnUnlistedZones(u, hold, c)
 		}
 		tr.setLastChange(u)
 	}
 	for i := range u.Targets {
-		tr.mergeTarget(&u.Targets[i], &c)
+		tr.mergeTarget(&u.Targets[i], c)
 	}
 	for _, x := range u.Unreadable {
-		tr.mergeUnreadable(x, &c)
+		tr.mergeUnreadable(x, c)
 	}
 	for _, removal := range u.Removed {
-		tr.mergeRemoval(removal, hold, &c)
+		tr.mergeRemoval(removal, hold, c)
 	}
 	for _, s := range u.Zones {
-		tr.mergeZone(s, &c)
+		tr.mergeZone(s, c)
 	}
-	if r := u.Routing; r != nil && (tr.routing == nil || r.Version > tr.routing.Version) {
-		tr.routing, c.Routing = r, r
-		tr.lastChange = max(tr.lastChange, r.Revision)
+	if u.Routing != nil {
+		tr.mergeRouting(u.Routing, c)
 	}
 	tr.confirm(now, u.Revision, u.Age, u.Reader)
 	tr.complete = tr.complete || u.Full
-	return c, true
+}
+
+func (tr *Tracker) mergeRouting(r *cactuspin.Routing, c *Change) {
+	switch {
+	case tr.routing == nil || r.Version > tr.routing.Version:
+		tr.routing, c.Routing = r, r
+		tr.lastChange = max(tr.lastChange, r.Revision)
+	case tr.era > 0 && r.Version == tr.routing.Version && r.Revision > tr.routing.Revision:
+		// The operators have written again what the backup lacked.
+		tr.routing = r
+		tr.lastChange = max(tr.lastChange, r.Revision)
+	}
 }
 
 // setLastChange derives the last change from a full update, which does not list removals.
@@ -202,6 +243,9 @@
 
 // Confirmation says that a revision was the newest one some time ago.
 type Confirmation struct {
+	Era cactuspin.Era
+	// Version is the version of the routing that the sender has in force, if eras are known.
+	Version cactuspin.RoutingVersion
 	// Revision is the confirmed revision, LastChange that of the last change up to it.
 	Revision, LastChange cactuspin.Revision
 	Age, HealthyFor      time.Duration
@@ -210,11 +254,14 @@
 }
 
 // Confirm records a confirmation. It reports false if the knowledge does not include
-// the last change, so that an update is needed.
+// the last change, so that an update is needed. One of an older era changes nothing.
 func (tr *Tracker) Confirm(now cactuspin.Time, c Confirmation) bool {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	if !tr.complete || tr.revision < c.LastChange {
+	if tr.older(c.Era) {
+		return true
+	}
+	if !tr.complete || c.Era > tr.era || tr.revision < c.LastChange || tr.lacksVersion(c.Version) {
 		return false
 	}
 	tr.healthySince = max(tr.healthySince, now.Add(-c.HealthyFor))
@@ -368,28 +415,32 @@
 	tr.removed[removal.ID] = removal.Revision
 }
 
-// NeedsFullUpdate reports whether a host with complete knowledge up to a revision
+// NeedsFullUpdate reports whether a host with complete knowledge up to a revision of an era
 // needs a full update because not all removals since then are remembered.
-func (tr *Tracker) NeedsFullUpdate(after cactuspin.Revision) bool {
+func (tr *Tracker) NeedsFullUpdate(era cactuspin.Era, after cactuspin.Revision) bool {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
-	return tr.needsFullUpdate(after)
+	return era < tr.era || tr.needsFullUpdate(after)
 }
 
 func (tr *Tracker) needsFullUpdate(after cactuspin.Revision) bool {
 	return after == 0 || after < tr.removedSince || tr.gap.contains(after)
 }
 
-// UpdateSince returns the changes since a revision, or a full update if not all
+// UpdateSince returns the changes since a revision of the present era, or a full update if not all
 // removals since then are remembered. It reports false if the knowledge is
 // incomplete.
 func (tr *Tracker) UpdateSince(now cactuspin.Time, after cactuspin.Revision) (u cactuspin.Update, ok bool) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
+	return tr.updateSince(now, after)
+}
+
+func (tr *Tracker) updateSince(now cactuspin.Time, after cactuspin.Revision) (u cactuspin.Update, ok bool) {
 	if !tr.complete {
 		return u, false
 	}
-	u = cactuspin.Update{Revision: tr.revision, Age: tr.age(now), HealthyFor: max(0, now.Sub(tr.healthySince)), Reader: tr.reader, KnowsZones: true}
+	u = cactuspin.Update{Era: tr.era, Revision: tr.revision, Age: tr.age(now), HealthyFor: max(0, now.Sub(tr.healthySince)), Reader: tr.reader, KnowsZones: true}
 	u.Full = tr.needsFullUpdate(after)
 	if u.Full {
 		after = 0
--- a/internal/standin/simulator/host.go
+++ b/internal/standin/simulator/host.go
@@ -184,7 +184,7 @@
 		return
 	}
 	e := h.engine
-	u, err := e.UpdateSince(h.sim.now, f.After)
+	u, err := e.UpdateSince(h.sim.now, f.Era, f.After)
 	if h.previousBuild() {
 		u = updateWithoutZones(u)
 	}
--- a/internal/steering/balancer/health.go
+++ b/internal/steering/balancer/health.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cactuspin/cactuspin"
@@ -84,6 +85,9 @@
 	// reportedUntil is how long new flows avoid the target because another host found
 	// it down.
 	reportedUntil cactuspin.Time
+	// unverified reports that a probe has to find the target alive before it gets new
+	// flows.
+	unverified atomic.Bool
 }
 
 // recordMiss records that a packet sent at sent was not answered until now. It
@@ -122,6 +126,9 @@
 	defer h.mu.Unlock()
 	wasDown := h.condition >= down
 	h.lastAlive, h.condition, h.silentProbes, h.reportedUntil, h.probationUntil = now, healthy, 0, 0, 0
+	if h.unverified.Load() {
+		h.condition = suspect
+	}
 	return wasDown
 }
 
@@ -152,6 +159,7 @@
 	case f == FindingAlive:
 		h.condition, h.silentProbes, h.trustedUntil, h.reportedUntil = healthy, 0, now.Add(probeTrustTime), 0
 		h.lastAnsweredProbe = began
+		h.unverified.Store(false)
 		return before >= down
 	case f == FindingNone || before == healthy || h.lastAlive >= began:
 		return false
@@ -237,6 +245,14 @@
 	Address netip.AddrPort
 }
 
+// requireProbe keeps new flows away from the target until a probe has found it alive.
+func (h *health) requireProbe(now cactuspin.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.unverified.Store(true)
+	h.condition, h.lastMissed, h.nextProbe = max(h.condition, suspect), now, now
+}
+
 // DueProbes returns the probes that are due now and schedules the next ones.
 func (b *Balancer) DueProbes(now cactuspin.Time) (due []Probe) {
 	b.mu.RLock()
--- a/internal/steering/balancer/knowledge.go
+++ b/internal/steering/balancer/knowledge.go
@@ -12,6 +12,8 @@
 	for i := range c.Targets {
 		b.setTarget(now, &c.Targets[i])
 	}
+	b.renumber(c.Renumbered)
+	b.verifyReappeared(now, c.Reappeared)
 	for _, id := range c.Unreadable {
 		b.unreadable[CookieOf(id)] = true
 	}
--- a/internal/steering/balancer/target.go
+++ b/internal/steering/balancer/target.go
@@ -80,7 +80,7 @@
 
 // usable reports whether the target may get new flows.
 func (t *target) usable(now cactuspin.Time) bool {
-	return t.registered.State == cactuspin.TargetReady && !t.zone.evacuation.active(now) && !t.ended(now) && !t.replaced()
+	return t.registered.State == cactuspin.TargetReady && !t.zone.evacuation.active(now) && !t.ended(now) && !t.health.unverified.Load() && !t.replaced()
 }
 
 // replaced reports whether a later target is registered at the same address. Then
--- a/steering.go
+++ b/steering.go
@@ -19,6 +19,10 @@
 // Revision counts the changes of the platform's store.
 type Revision uint64
 
+// Era counts the restores of the platform's store from a backup. Revisions of two eras
+// cannot be compared. 0 is the era of stores and hosts that name none.
+type Era uint64
+
 // RoutingVersion is the operators' version of the routes. It only increases.
 type RoutingVersion uint64
 
@@ -155,6 +159,8 @@
 	// KnowsZones reports that the sender follows the states of zones. Hosts of builds
 	// without evacuations do not, and their updates hide evacuations.
 	KnowsZones bool `cbor:"20,keyasint,omitempty"`
+	// Era is the era of all revisions of the update.
+	Era Era `cbor:"15,keyasint,omitempty"`
 	// Next is the start of the next page of a read; empty after the last page.
 	Next Cursor `cbor:"-"`
 }
@@ -177,7 +183,8 @@
 
 // Store is the platform's metadata store. Its errors are wrapped; after one that
 // matches ErrHistoryLost, or ErrAnswerUnusable again and again, the content must be read
-// again with Read.
+// again with Read. Updates have the last era that the store named, also those that come
+// with an error.
 type Store interface {
 	// Read returns a page of all registrations and the routing. The pages are read
 	// at different times, so a read of all pages is only complete up to the revision
@@ -186,15 +193,21 @@
 	// Watch returns the changes after a revision; it waits for one for at most wait.
 	Watch(ctx context.Context, after Revision, wait time.Duration) (Update, error)
 	// Announce registers an entry host under a lease of length ttl and returns the
-	// lease's ID.
-	Announce(ctx context.Context, h EntryHost, ttl time.Duration) (LeaseID, error)
-	// Renew extends a lease.
-	Renew(ctx context.Context, id LeaseID) error
+	// lease.
+	Announce(ctx context.Context, h EntryHost, ttl time.Duration) (Lease, error)
+	// Renew extends a lease. One of an earlier era has ended, even if its ID is in use.
+	Renew(ctx context.Context, l Lease) error
 }
 
-// LeaseID identifies a lease of the store.
+// LeaseID identifies a lease of the store within an era.
 type LeaseID uint64
 
+// Lease is a lease of the store.
+type Lease struct {
+	ID  LeaseID
+	Era Era
+}
+
 // storeError is an error of the store that can be matched with errors.Is.
 type storeError string
 
