--- a/internal/entry/engine/peers.go
+++ b/internal/entry/engine/peers.go
@@ -100,9 +100,10 @@
 
 // fetchFromSender requests what a beacon shows to be missing, unless another host will tell.
 func (e *Engine) fetchFromSender(now cactuspin.Time, b *encoder.Beacon, known tracker.Position, out *Actions) {
+	newerVersion := known.Complete && b.Era > 0 && b.Era == known.Era && b.Version > known.RoutingVersion
 	switch {
-	case b.Era == known.Era && known.Complete && b.LastChange <= known.Revision:
-		// Only the routing is newer, and no revision of this era shows it.
+	case newerVersion && min(b.LastChange, b.Revision) <= known.Revision:
+		// The sender knows the routing from an earlier era. No revision shows it.
 		e.fetchSince(now, b.Host.Address, 0, out)
 	case b.Era > known.Era || !b.LastChangeUnknown || known.Age > e.c.maxAge():
 		e.fetch(now, b.Host.Address, out)
--- a/internal/knowledge/encoder/encoder_test.go
+++ b/internal/knowledge/encoder/encoder_test.go
@@ -177,3 +177,62 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(decoded.Targets).To(HaveLen(140_000))
 }
+
+// The messages of the previous build: no eras, and no fields above 14.
+type formerBeacon struct {
+	Host       cactuspin.EntryHost `cbor:"1,keyasint"`
+	Revision   cactuspin.Revision  `cbor:"3,keyasint"`
+	LastChange cactuspin.Revision  `cbor:"4,keyasint"`
+	Age        time.Duration       `cbor:"5,keyasint"`
+	Complete   bool                `cbor:"7,keyasint,omitempty"`
+}
+
+type formerUpdate struct {
+	After    cactuspin.Revision `cbor:"1,keyasint"`
+	Revision cactuspin.Revision `cbor:"2,keyasint"`
+	Full     bool               `cbor:"3,keyasint"`
+}
+
+type formerDatagram struct {
+	Beacon *formerBeacon `cbor:"1,keyasint,omitempty"`
+	Update *formerUpdate `cbor:"2,keyasint,omitempty"`
+}
+
+// Guards against a rolling upgrade in which hosts of two builds cannot read each other.
+func TestHostsOfThePreviousBuildIgnoreEras(t *testing.T) {
+	g := NewWithT(t)
+	beacon := sample()
+	beacon.Beacon.Era, beacon.Beacon.Version = 4, 12
+	update := encoder.Datagram{Update: &cactuspin.Update{Era: 4, After: 3, Revision: 9}}
+	for _, d := range []encoder.Datagram{beacon, update} {
+		b, err := encoder.Encode(&d)
+		g.Expect(err).NotTo(HaveOccurred())
+		var former formerDatagram
+		g.Expect(cbor.Unmarshal(b, &former)).To(Succeed())
+		if former.Beacon != nil {
+			g.Expect(former.Beacon.Revision).To(Equal(cactuspin.Revision(7)))
+		} else {
+			g.Expect(*former.Update).To(Equal(formerUpdate{After: 3, Revision: 9}))
+		}
+		decoded, err := encoder.Decode(b)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(decoded).To(Equal(d))
+	}
+	b, err := cbor.Marshal(formerDatagram{Beacon: &formerBeacon{Host: beacon.Beacon.Host, Revision: 7, Complete: true}})
+	g.Expect(err).NotTo(HaveOccurred())
+	decoded, err := encoder.Decode(b)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(decoded.Beacon.Era).To(BeZero())
+}
+
+// Guards against more bytes between the hosts of a deployment whose store names no era.
+func TestMessagesWithoutAnEraAreNotLonger(t *testing.T) {
+	g := NewWithT(t)
+	d := sample()
+	b, err := encoder.Encode(&d)
+	g.Expect(err).NotTo(HaveOccurred())
+	var fields map[int]map[int]any
+	g.Expect(cbor.Unmarshal(b, &fields)).To(Succeed())
+	g.Expect(fields[1]).NotTo(HaveKey(15))
+	g.Expect(fields[1]).NotTo(HaveKey(16))
+}
--- a/internal/knowledge/planner/planner_test.go
+++ b/internal/knowledge/planner/planner_test.go
@@ -223,3 +223,18 @@
 	beacon.Incarnation = 7
 	g.Expect(p.HandleBeacon(at, beacon)).To(BeTrue(), "it was restarted")
 }
+
+// Guards against a zone that nobody reads for because a host of an older era, which no
+// longer helps others, takes precedence.
+func TestHostsOfAnOlderEraTakeNoPrecedence(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlanner(host(1, 1))
+	hear := func(era cactuspin.Era) {
+		p.HandleBeacon(now, &encoder.Beacon{Host: host(0, 1), Incarnation: 5, Complete: true, Era: era})
+	}
+	known := tracker.Position{Complete: true, Era: 2}
+	hear(1)
+	g.Expect(p.Tick(now, known, false).ReadStore).To(BeTrue())
+	hear(2)
+	g.Expect(p.Tick(now, known, false).ReadStore).To(BeFalse())
+}
