Restore the store of the simulator from a backup

Hosts that were not disturbed have to keep what they knew also while other time bounds are suspended.

--- a/internal/standin/simulator/evacuation.go
+++ b/internal/standin/simulator/evacuation.go
@@ -15,11 +15,15 @@
 	if s.unavailable {
 		return false
 	}
+	s.sim.oracle.zoneChanged(s.putZone(zone, evacuated))
+	return true
+}
+
+func (s *store) putZone(zone cactuspin.ZoneID, evacuated bool) *cactuspin.ZoneState {
 	state := cactuspin.ZoneState{Zone: zone, Evacuated: evacuated, Revision: s.revision + 1}
 	s.zones[zone] = state
 	s.commit(change{zone: &state})
-	s.sim.oracle.zoneChanged(&state)
-	return true
+	return &state
 }
 
 // evacuatedZones returns the items of a page that evacuate zones.
@@ -72,6 +76,9 @@
 	}
 	z.flows++
 	bound := o.gracePeriodOver(h) && o.sim.now >= o.storeGracePeriodEnd && !o.sim.storeBlocked(h) && !o.sim.store.unavailable
+	if z.evacuated && z.since.Add(evacuationBound) < o.restoreBegan && o.keepsKnowledge(h) {
+		o.reportViolation("EVAC", "target %s takes a flow from host %d, which knew before the restore that zone %s is evacuated", t.registration.ID, h.index, t.zone)
+	}
 	if d := o.sim.now.Sub(z.since); z.evacuated && d > evacuationBound && bound && !h.previousBuild() {
 		o.reportViolation("EVAC", "target %s takes a flow %s after the evacuation of zone %s, from host %d", t.registration.ID, d, t.zone, h.index)
 	}
--- a/internal/standin/simulator/faults.go
+++ b/internal/standin/simulator/faults.go
@@ -139,6 +139,8 @@
 		"store_refuses":      s.refuseHosts,
 		"store_slow":         s.slowStore,
 		"store_forgets":      s.stallWatchesAndCompact,
+		"store_backup":       func(*Fault) { s.store.backUp() },
+		"store_restore":      s.restoreStore,
 		"store_silences":     func(*Fault) { s.store.dropWatches() },
 		"zone_cut":           s.isolateZone,
 		"zone_evacuate":      s.evacuateZones,
--- a/internal/standin/simulator/host.go
+++ b/internal/standin/simulator/host.go
@@ -86,13 +86,18 @@
 		DynamicConfig: engine.DynamicConfig{Seeds: seeds, MaxStaleness: min(applyBound, drainBound, evacuationBound), Evacuations: !h.previousBuild()},
 		Self:          self, Incarnation: cactuspin.Incarnation(h.sim.random.Uint64()), MaxFlows: 1 << 14, Seed: h.sim.random.Uint64(),
 	})
+	h.announce()
+	h.tick(h.generation)
+}
+
+// announce announces the host at the store once; a call that fails is not repeated.
+func (h *host) announce() {
 	generation := h.generation
 	h.sim.after(storeDelay, func() {
 		if h.generation == generation && !h.sim.store.unavailable && !h.sim.storeBlocked(h) {
-			h.sim.store.announceHost(self)
+			h.sim.store.announceHost(cactuspin.EntryHost{Address: h.address, Zone: h.zone})
 		}
 	})
-	h.tick(generation)
 }
 
 func (h *host) tick(generation int) {
@@ -151,6 +156,9 @@
 	for _, r := range out.Resets {
 		h.sim.resetFlow(h, r)
 	}
+	if out.Announce {
+		h.announce()
+	}
 	for _, p := range out.Probes {
 		startedAt, generation, p := h.sim.now, h.generation, p
 		finding, duration := h.sim.probe(h, p.Address)
--- a/internal/standin/simulator/oracle.go
+++ b/internal/standin/simulator/oracle.go
@@ -53,6 +53,8 @@
 	storeGracePeriodEnd cactuspin.Time
 	// zones holds the zones that were evacuated.
 	zones map[cactuspin.ZoneID]*zoneRecord
+	// restoreBegan is when the store last became unavailable for a restore, or 0.
+	restoreBegan cactuspin.Time
 	// configurations holds the accepted configurations in order of time.
 	configurations []acceptedRouting
 	// recoveryDeadline is when service must have recovered; requestsAfterRecovery and
@@ -91,6 +93,12 @@
 	return o.gracePeriodOver(h) && o.sim.now >= o.storeGracePeriodEnd && !o.sim.storeBlocked(h) && !o.sim.store.unavailable && !o.sim.store.refusedHosts[h]
 }
 
+// keepsKnowledge reports whether the store is being restored or has just been, and a host
+// has to keep what it knew before, as it has not been disturbed otherwise.
+func (o *oracle) keepsKnowledge(h *host) bool {
+	return o.restoreBegan != 0 && o.sim.now < o.storeGracePeriodEnd && o.gracePeriodOver(h)
+}
+
 func (o *oracle) requestStarted(*request) { o.requests++ }
 
 func (o *oracle) requestEnded(r *request, served bool) {
@@ -163,6 +171,9 @@
 	if t.drainingSince != 0 && o.sim.now.Sub(t.drainingSince) > drainBound && o.boundsApply(h) {
 		o.reportViolation("DRAIN", "target %s takes a flow %s after it drains, from host %d", t.registration.ID, o.sim.now.Sub(t.drainingSince), h.index)
 	}
+	if t.drainingSince != 0 && t.drainingSince.Add(drainBound) < o.restoreBegan && o.keepsKnowledge(h) {
+		o.reportViolation("DRAIN", "target %s takes a flow from host %d, which knew before the restore that it drains", t.registration.ID, h.index)
+	}
 	o.checkZone(h, t)
 	if o.routeRemoved(c) && o.boundsApply(h) {
 		o.reportViolation("CONFIG", "host %d opens a flow on dropped route %s", h.index, c.service)
@@ -234,12 +245,12 @@
 // checkReset checks a reset that a host sent.
 func (o *oracle) checkReset(h *host, c *connection, reason cactuspin.VerdictReason) {
 	if !c.established {
-		if reason == cactuspin.ReasonNoRoute && o.boundsApply(h) && o.routeEstablished(c) {
+		if reason == cactuspin.ReasonNoRoute && (o.boundsApply(h) || o.keepsKnowledge(h)) && o.routeEstablished(c) {
 			o.reportViolation("CONFIG", "host %d refuses a flow to %s for want of a route", h.index, c.service)
 		}
 		return
 	}
-	if c.target.alive && o.gracePeriodOver(c.target) && o.boundsApply(h) && !o.routeMissingSince(c.service, c.establishedAt) && !o.sim.blocked(&h.location, &c.target.location) &&
+	if c.target.alive && o.gracePeriodOver(c.target) && (o.boundsApply(h) || o.keepsKnowledge(h)) && !o.routeMissingSince(c.service, c.establishedAt) && !o.sim.blocked(&h.location, &c.target.location) &&
 		o.sim.now.Sub(c.establishedAt) < maxFlowAge {
 		o.reportViolation("FLOW", "host %d resets a flow at living target %s (%s)", h.index, c.target.registration.ID, reason)
 	}
--- a/internal/standin/simulator/scenario.go
+++ b/internal/standin/simulator/scenario.go
@@ -5,6 +5,8 @@
 
 	"github.com/cockroachdb/errors"
 	"go.yaml.in/yaml/v3"
+
+	"github.com/cactuspin/cactuspin"
 )
 
 // Scenario describes the topology of a run, the faults in it and its limits.
@@ -22,6 +24,8 @@
 	// Length is how long callers send requests.
 	Length Duration `yaml:"length"`
 	Faults []Fault  `yaml:"faults"`
+	// Era is the era that the store names at the start; 0 means that it names none.
+	Era cactuspin.Era `yaml:"era"`
 	// MinServed is the minimum share of requests that must be served in time.
 	MinServed float64 `yaml:"served"`
 	// MinInTime is the minimum share of requests that must be served within the
--- a/internal/standin/simulator/store.go
+++ b/internal/standin/simulator/store.go
@@ -41,7 +41,11 @@
 
 // store models the platform's store.
 type store struct {
-	sim      *Simulation
+	sim *Simulation
+	// era is the era that answers name; 0 means that they name none.
+	era cactuspin.Era
+	// backup is the copy to which a restore goes back, or nil.
+	backup   *content
 	revision cactuspin.Revision
 	routing  *cactuspin.Routing
 	targets  map[cactuspin.TargetID]cactuspin.RegisteredTarget
@@ -71,7 +75,7 @@
 }
 
 func newStore(s *Simulation) *store {
-	return &store{sim: s, revision: 7, compactedRevision: 7, targets: map[cactuspin.TargetID]cactuspin.RegisteredTarget{}, unreadable: map[cactuspin.TargetID]cactuspin.Revision{}, zones: map[cactuspin.ZoneID]cactuspin.ZoneState{}, refusedHosts: map[*host]bool{}}
+	return &store{sim: s, era: s.scenario.Era, revision: 7, compactedRevision: 7, targets: map[cactuspin.TargetID]cactuspin.RegisteredTarget{}, unreadable: map[cactuspin.TargetID]cactuspin.Revision{}, zones: map[cactuspin.ZoneID]cactuspin.ZoneState{}, refusedHosts: map[*host]bool{}}
 }
 
 func (s *store) commit(c change) cactuspin.Revision {
@@ -122,6 +126,9 @@
 }
 
 func (s *store) announceHost(h cactuspin.EntryHost) {
+	if slices.Contains(s.hosts, h) {
+		return
+	}
 	s.hosts = append(s.hosts, h)
 	s.commit(change{host: &h})
 }
@@ -151,7 +158,7 @@
 		}
 	case w.call.FullRead:
 		s.sendResponse(w, s.readPage(w.call.From), nil)
-	case w.call.After < s.compactedRevision:
+	case w.call.After < s.compactedRevision || w.call.After > s.revision:
 		s.sendResponse(w, nil, cactuspin.ErrHistoryLost)
 	case w.call.After < s.revision && !s.watchesStalled:
 		s.completeWatch(w)
@@ -228,11 +235,12 @@
 
 // sendResponse sends a response to the host.
 func (s *store) sendResponse(w *pendingCall, u *cactuspin.Update, err error) {
-	items, sent := 0, s.delay()
-	if u != nil {
-		items = len(u.Targets) + len(u.Hosts)
-		sent += s.link.transfer(s.sim.now, itemBytes*items, s.sim.scenario.StoreBandwidth)
+	if u == nil {
+		u = &cactuspin.Update{}
 	}
+	u.Era = s.era
+	items := len(u.Targets) + len(u.Hosts)
+	sent := s.delay() + s.link.transfer(s.sim.now, itemBytes*items, s.sim.scenario.StoreBandwidth)
 	s.sim.after(sent, func() {
 		if s.sim.storeBlocked(w.host) || w.host.generation != w.generation {
 			return
