Restore the store of the soak from backups

The metastore of the tests names its era, goes back to a backup and gives out revisions and leases again. TestSoakOfRestores restores it once or twice every few seconds beside all other faults; TestSoak keeps a store without eras, and the faults of its seeds.

--- a/internal/entry/engine/era_test.go
+++ b/internal/entry/engine/era_test.go
@@ -42,6 +42,7 @@
 	changes := &cactuspin.Update{Era: 2, After: 10, Revision: 12, Removed: []cactuspin.RemovedTarget{{ID: "i-1", Revision: 12}}, Routing: &cactuspin.Routing{Version: 9, Revision: 12}}
 	e.StoreAnswered(now, call, changes, nil, &out)
 	g.Expect(e.Status(now).RoutingVersion).To(Equal(cactuspin.RoutingVersion(3)))
+	g.Expect(e.Status(now).HealthyFor).To(BeZero(), "what the backup lacks is held, as after an outage")
 	g.Expect(out.Sends).To(BeEmpty())
 	g.Expect(out.Store.FullRead).To(BeTrue())
 	call, out = out.Store, engine.Actions{}
--- a/internal/entry/engine/peers.go
+++ b/internal/entry/engine/peers.go
@@ -81,13 +81,9 @@
 	if !b.Complete || now < e.trustAfter || e.hidesZones(b.KnowsZones) {
 		return
 	}
-	position := e.tracker.Position(now)
-	if b.Era < position.Era {
-		return
-	}
 	confirmation := tracker.Confirmation{Era: b.Era, Version: b.Version, Revision: b.Revision, LastChange: b.LastChange, Age: b.Age, HealthyFor: b.HealthyFor, Reader: b.Reader}
 	if !e.tracker.Confirm(now, confirmation) {
-		e.fetchFromSender(now, b, position, out)
+		e.fetchFromSender(now, b, e.tracker.Position(now), out)
 		return
 	}
 	e.balancer.SetFreshness(now, e.tracker.Position(now))
--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -41,7 +41,11 @@
 	leases            map[uint64]time.Duration
 	changed           chan struct{}
 	failing           bool
-	calls             int
+	// era is named by all answers; 0 means that none names it. backup is the content to
+	// which a restore goes back.
+	era    uint64
+	backup content
+	calls  int
 }
 
 // New returns an empty store.
@@ -111,6 +115,7 @@
 	s.mu.Lock()
 	s.calls++
 	failing := s.failing
+	s.writeEra(w)
 	s.mu.Unlock()
 	switch {
 	case failing:
@@ -138,6 +143,7 @@
 func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.writeEra(w)
 	q := r.URL.Query()
 	matching := []item{}
 	for k, x := range s.items {
@@ -175,13 +181,14 @@
 	for timedOut := false; ; {
 		s.mu.Lock()
 		events, changed, status := s.eventsAfter(q.Get("prefix"), after), s.changed, http.StatusOK
-		if after < s.compactedRevision {
+		if after < s.compactedRevision || after > s.revision {
 			status = http.StatusGone
 		}
 		if s.failing {
 			status = http.StatusServiceUnavailable
 		}
 		revision := s.revision
+		s.writeEra(w)
 		s.mu.Unlock()
 		if status != http.StatusOK {
 			w.WriteHeader(status)
@@ -223,6 +230,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.writeEra(w)
 	for _, p := range t.Precondition {
 		if s.items[p.Key].Revision != p.Revision {
 			w.WriteHeader(http.StatusPreconditionFailed)
@@ -253,6 +261,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.writeEra(w)
 	id := uint64(len(s.leases) + 1)
 	s.leases[id] = time.Duration(t.TTL) * time.Millisecond
 	writeJSON(w, map[string]any{"lease": id, "ttl_ms": t.TTL})
@@ -262,6 +271,7 @@
 	id, err := strconv.ParseUint(strings.TrimPrefix(r.URL.Path, "/kv-keep/"), 10, 64)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.writeEra(w)
 	ttl, ok := s.leases[id]
 	if err != nil || !ok {
 		w.WriteHeader(http.StatusNotFound)
--- a/internal/standin/netemulator/target.go
+++ b/internal/standin/netemulator/target.go
@@ -48,6 +48,8 @@
 	reports  int
 	requests int
 	down     bool
+	// stopped reports that the target has drained and ended.
+	stopped bool
 	// drainingSince is when the target reported draining.
 	drainingSince time.Time
 }
@@ -207,6 +209,9 @@
 	t.register()
 	t.mu.Unlock()
 	time.AfterFunc(servingTime, func() {
+		t.mu.Lock()
+		t.stopped = true
+		t.mu.Unlock()
 		t.store.Remove("servers/" + t.id)
 		t.oracle.targetStopped(t.address, 0)
 		t.close()
--- a/internal/standin/netemulator/testbed.go
+++ b/internal/standin/netemulator/testbed.go
@@ -79,6 +79,9 @@
 	callers     []*caller
 	storeServer *http.Server
 	version     atomic.Int64
+	// configurationMu lets one configuration be written at a time, so that versions only
+	// increase.
+	configurationMu sync.Mutex
 	// feedsMoved reports that feeds are led to the shelf service.
 	feedsMoved atomic.Bool
 }
@@ -281,7 +284,11 @@
 func (tb *Testbed) SuspendTimeBounds(d time.Duration) { tb.oracle.startGracePeriod(d + gracePeriod) }
 
 // UpdateConfiguration writes the next configuration to the store.
-func (tb *Testbed) UpdateConfiguration() { tb.putConfiguration(int(tb.version.Add(6))) }
+func (tb *Testbed) UpdateConfiguration() {
+	tb.configurationMu.Lock()
+	defer tb.configurationMu.Unlock()
+	tb.putConfiguration(int(tb.version.Add(6)))
+}
 
 // MoveFeeds leads the feeds to the other service by a new configuration.
 func (tb *Testbed) MoveFeeds() {
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -50,6 +50,8 @@
 	planned bool
 	// evacuations draws evacuations, apart from the other work, whose order a seed keeps.
 	evacuations *rand.Rand
+	// restores makes the store come back from backups, beside all other faults.
+	restores bool
 	// stopping is held while a host is stopped by plan, as one at a time is.
 	stopping sync.Mutex
 }
@@ -61,13 +63,17 @@
 	return fallback
 }
 
-func TestSoak(t *testing.T) { runSoak(t, false) }
+func TestSoak(t *testing.T) { runSoak(t, &soak{}) }
 
 // TestSoakOfPlannedWork restarts hosts by plan while routes move to another service and
 // back and another writer leaves odd entries.
-func TestSoakOfPlannedWork(t *testing.T) { runSoak(t, true) }
+func TestSoakOfPlannedWork(t *testing.T) { runSoak(t, &soak{planned: true}) }
 
-func runSoak(t *testing.T, planned bool) {
+// TestSoakOfRestores restores the store from backups, once in a while twice in quick
+// succession, while all other faults go on.
+func TestSoakOfRestores(t *testing.T) { runSoak(t, &soak{restores: true}) }
+
+func runSoak(t *testing.T, s *soak) {
 	t.Helper()
 	// Time bounds hold only on an otherwise idle machine, so they are checked only in
 	// runs that set SOAK_SECONDS.
@@ -80,7 +86,8 @@
 	program := buildHost(t, directory)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	s := &soak{t: t, random: rand.New(rand.NewPCG(uint64(seed), 3)), planned: planned, evacuations: rand.New(rand.NewPCG(uint64(seed), 4))}
+	s.t, s.random = t, rand.New(rand.NewPCG(uint64(seed), 3))
+	s.evacuations = rand.New(rand.NewPCG(uint64(seed), 4))
 	s.setUp(ctx, program, directory, hosts, time.Duration(seconds)*time.Second)
 	defer func() {
 		for _, p := range s.processes {
@@ -90,8 +97,12 @@
 	if !s.testbed.WaitReady(ctx, startTimeout) {
 		t.Fatalf("hosts are not ready; logs are in %s", directory)
 	}
+	if s.restores {
+		s.activeFaults.Add(1)
+		go s.injectRestores(rand.New(rand.NewPCG(uint64(seed), 5)), time.Duration(seconds)*time.Second)
+	}
 	go s.injectFaults(ctx, time.Duration(seconds)*time.Second)
-	if planned {
+	if s.planned {
 		s.activeFaults.Go(func() { s.evacuateZones(time.Duration(seconds) * time.Second) })
 	}
 	r := s.testbed.RunTraffic(ctx)
@@ -123,6 +134,9 @@
 	if s.testbed, err = netemulator.New(c); err != nil {
 		s.t.Fatal(err)
 	}
+	if s.restores {
+		s.testbed.Store().SetEra(1)
+	}
 	for n := range 3 * hosts {
 		p := newProcess(program, directory, n+1)
 		s.processes = append(s.processes, p)
@@ -286,7 +300,7 @@
 		check("evacuated", r.EvacuatedFlows == 0, "%d flows opened in evacuated zones", r.EvacuatedFlows)
 		check("most served", 2*r.Served > r.Asked, "%d of %d", r.Served, r.Asked)
 	}
-	check("recovered", s.waitForRecovery(ctx), "not all hosts have version %d and all zones", s.testbed.ConfigurationVersion())
+	check("recovered", s.waitForRecovery(ctx), "not all hosts have version %d of era %d and all zones", s.testbed.ConfigurationVersion(), s.testbed.Store().Era())
 	for _, p := range s.processes {
 		p.mu.Lock()
 		check("ended by itself", len(p.unexpectedExits) == 0, "%v", p.unexpectedExits)
@@ -298,14 +312,14 @@
 	fmt.Printf("soak: %d passed, %d failed\n", passed, failed)
 }
 
-// waitForRecovery reports whether all hosts apply the newest configuration, and the return
-// of all zones, within recoveryTimeout.
+// waitForRecovery reports whether all hosts know the era of the store and apply the newest
+// configuration, and the return of all zones, within recoveryTimeout.
 func (s *soak) waitForRecovery(ctx context.Context) bool {
 	for startedAt := time.Now(); time.Since(startedAt) < recoveryTimeout; time.Sleep(100 * time.Millisecond) {
 		allCurrent := true
 		for _, a := range s.testbed.AdminAddresses() {
 			status := hostStatus(ctx, a)
-			allCurrent = allCurrent && status.Version == s.testbed.ConfigurationVersion() && len(status.EvacuatedZones) == 0
+			allCurrent = allCurrent && status.Version == s.testbed.ConfigurationVersion() && len(status.EvacuatedZones) == 0 && status.StoreEra == s.testbed.Store().Era()
 		}
 		if allCurrent {
 			return true
