Let starting hosts hear of a restore from others

A host that starts just after a restore cannot tell that the store came back from a backup, and would reset the flows of targets that the backup lacks. Beacons of its peers now tell it before its knowledge is complete.

go test ./internal/entry/... ./internal/knowledge/... passes.

--- a/internal/knowledge/tracker/era_test.go
+++ b/internal/knowledge/tracker/era_test.go
@@ -98,6 +98,17 @@
 	}
 }
 
+// Guards against flows that a starting host resets because the backup lacks their targets.
+func TestAStartingHostHearsOfARestoreFromOthers(t *testing.T) {
+	g := NewWithT(t)
+	tr := tracker.New()
+	g.Expect(tr.Confirm(now, tracker.Confirmation{Era: 1, Revision: 5, HealthyFor: time.Second})).To(BeFalse())
+	u := restored(1)
+	u.HealthyFor = time.Hour
+	tr.Merge(now, u)
+	g.Expect(tr.Position(now).HealthyFor).To(Equal(time.Second))
+}
+
 // Guards against messages in flight that bring the old era back.
 func TestMessagesOfAnOlderEraChangeNothing(t *testing.T) {
 	g := NewWithT(t)
--- a/internal/knowledge/tracker/tracker.go
+++ b/internal/knowledge/tracker/tracker.go
@@ -261,6 +261,10 @@
 	if tr.older(c.Era) {
 		return true
 	}
+	if c.Era > 0 {
+		// A starting host cannot tell by itself that the store was restored just before.
+		tr.healthySince = max(tr.healthySince, now.Add(-c.HealthyFor))
+	}
 	if !tr.complete || c.Era > tr.era || tr.revision < c.LastChange || tr.lacksVersion(c.Version) {
 		return false
 	}
