Decode the warm-up settings of services

Operators set how many new flows a cold target can handle, which hosts did not read. The settings are part of the routing (Routing.Warmups, only services with a rate above 0).

--- a/steering.go
+++ b/steering.go
@@ -73,6 +73,18 @@
 	IdleTimeout time.Duration `cbor:"4,keyasint"`
 	// Services are the services that the configuration names, with routes or without.
 	Services []ServiceName `cbor:"5,keyasint,omitempty"`
+	// Warmups lists the services whose cold targets have a limit.
+	Warmups []ServiceSettings `cbor:"6,keyasint,omitempty"`
+}
+
+// ServiceSettings are the operators' settings for cold targets of a service.
+type ServiceSettings struct {
+	Name ServiceName `cbor:"1,keyasint"`
+	// Warmup is how long a target is cold after its start or after its zone's return from
+	// an evacuation.
+	Warmup time.Duration `cbor:"2,keyasint"`
+	// WarmupRate is the number of new flows per second that a cold target can handle.
+	WarmupRate float64 `cbor:"3,keyasint"`
 }
 
 // TargetState is the state that a target reports in its registration.
