List the hosts of a zone that may own cold targets

Hosts past the third of a zone do not know each other, so the leader lists those that it hears in its beacons, while its zone has cold targets.

Only the first three hosts as owners, as planned before, would use the flows of 3 of 28 hosts of a zone: if all targets of a service are cold, all others refuse.

--- a/internal/knowledge/encoder/encoder.go
+++ b/internal/knowledge/encoder/encoder.go
@@ -56,7 +56,22 @@
 
 // Largest returns the loads that fit into a beacon: those with the most failed
 // requests first, then those with the most requests in progress.
-func (l Loads) Largest() Loads {
+func (l Loads) Largest() Loads { return l.largest(maxLoads) }
+
+// LargestBeside returns the loads that fit into a beacon with two lists of loads and the
+// eligible hosts and returns of b.
+func (l Loads) LargestBeside(b *Beacon) Loads {
+	used := len(b.Eligible) * addressLength
+	for _, r := range b.Returns {
+		used += len(r.Zone) + returnOverhead
+	}
+	if used > 0 {
+		used += listOverhead
+	}
+	return l.largest(max(0, maxLoads-(used+2*loadLength-1)/(2*loadLength)))
+}
+
+func (l Loads) largest(maxLoads int) Loads {
 	if len(l) <= maxLoads {
 		return l
 	}
@@ -130,8 +145,32 @@
 	// Version is the version of the routing in force; 0 in era 0, in which the revision
 	// tells it.
 	Version cactuspin.RoutingVersion `cbor:"16,keyasint,omitempty"`
+	// Eligible lists the hosts that may own cold targets of the zone. Only the leader
+	// sends it, while the zone has cold targets of services with a limit.
+	Eligible Addresses `cbor:"30,keyasint,omitempty"`
+	// Returns lists the zones that have returned from an evacuation within the warm-up
+	// time, for hosts that have started since.
+	Returns []ZoneReturn `cbor:"31,keyasint,omitempty"`
+}
+
+// ZoneReturn reports that a zone has returned from an evacuation.
+type ZoneReturn struct {
+	Zone cactuspin.ZoneID `cbor:"1,keyasint"`
+	// Since is the time since the sender learned of it.
+	Since time.Duration `cbor:"2,keyasint"`
 }
 
+// MaxReturns limits the zones that a beacon lists as returned.
+const MaxReturns = 4
+
+const (
+	// returnOverhead is the most that a ZoneReturn takes on the wire besides its name.
+	returnOverhead = 16
+	// listOverhead is what the lists of eligible hosts and returns take besides their
+	// elements, and some reserve.
+	listOverhead = 24
+)
+
 // Datagram is a datagram between hosts; exactly one field is set.
 type Datagram struct {
 	Beacon *Beacon           `cbor:"1,keyasint,omitempty"`
@@ -165,6 +204,14 @@
 	if err := checkAges(b.Age, b.HealthyFor); err != nil {
 		return err
 	}
+	if len(b.Returns) > MaxReturns {
+		return errors.Newf("%d zones returned", len(b.Returns))
+	}
+	for _, r := range b.Returns {
+		if r.Since < 0 {
+			return errors.Newf("zone %q returns in the future", r.Zone)
+		}
+	}
 	return checkHost(b.Host)
 }
 
--- a/internal/knowledge/encoder/encoder_test.go
+++ b/internal/knowledge/encoder/encoder_test.go
@@ -92,6 +92,39 @@
 	b, err := encoder.Encode(&d)
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(len(b)).To(BeNumerically("<=", encoder.MaxDatagramLength))
+	for i := range encoder.MaxEligible {
+		d.Beacon.Eligible = append(d.Beacon.Eligible, netip.AddrFrom4([4]byte{10, 255, 255, byte(i)}))
+	}
+	for range encoder.MaxReturns {
+		d.Beacon.Returns = append(d.Beacon.Returns, encoder.ZoneReturn{Zone: "eu-central-1a", Since: time.Minute})
+	}
+	d.Beacon.Loads, d.Beacon.Total = loads.LargestBeside(d.Beacon), loads.LargestBeside(d.Beacon)
+	b, err = encoder.Encode(&d)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(len(b)).To(BeNumerically("<=", encoder.MaxDatagramLength))
+	decoded, err := encoder.Decode(b)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(decoded).To(Equal(d))
+}
+
+// Guards against beacons of other processes that make a host remember anything.
+func TestBeaconsWithUnusableListsAreRejected(t *testing.T) {
+	g := NewWithT(t)
+	for _, change := range []func(b *encoder.Beacon){
+		func(b *encoder.Beacon) { b.Eligible = make(encoder.Addresses, encoder.MaxEligible+1) },
+		func(b *encoder.Beacon) { b.Returns = make([]encoder.ZoneReturn, encoder.MaxReturns+1) },
+		func(b *encoder.Beacon) { b.Returns = []encoder.ZoneReturn{{Zone: "a", Since: -1}} },
+	} {
+		d := sample()
+		change(d.Beacon)
+		for i := range d.Beacon.Eligible {
+			d.Beacon.Eligible[i] = netip.AddrFrom4([4]byte{10, 0, 0, byte(i)})
+		}
+		b, err := encoder.Encode(&d)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = encoder.Decode(b)
+		g.Expect(err).To(HaveOccurred())
+	}
 }
 
 func TestInvalidDatagramsAreRejected(t *testing.T) {
--- a/internal/knowledge/planner/planner.go
+++ b/internal/knowledge/planner/planner.go
@@ -92,6 +92,8 @@
 	loads, total encoder.Loads
 	// down lists the targets that the host reported as down at its last beacon.
 	down encoder.DownTargets
+	// eligible lists the hosts that may own cold targets, by the host's last beacon.
+	eligible encoder.Addresses
 }
 
 // Planner decides from received beacons and the time. It is safe for concurrent
@@ -107,12 +109,17 @@
 	// firstPageAt is when the planner was first informed that the first page of a
 	// full read had been read, or 0.
 	firstPageAt cactuspin.Time
-	random      *rand.Rand
+	// completeSince is when the planner was first informed that the knowledge is
+	// complete, or 0.
+	completeSince cactuspin.Time
+	// members are the other hosts of this zone, also those that have been silent for long.
+	members members
+	random  *rand.Rand
 }
 
 // New returns a Planner without peers.
 func New(c Config) *Planner {
-	return &Planner{c: c, peers: map[netip.Addr]*peer{}, random: rand.New(rand.NewPCG(c.Seed, uint64(c.Incarnation)))}
+	return &Planner{c: c, peers: map[netip.Addr]*peer{}, members: members{}, random: rand.New(rand.NewPCG(c.Seed, uint64(c.Incarnation)))}
 }
 
 // Reconfigure replaces the seeds and the maximum age of the knowledge.
@@ -130,7 +137,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, h := range hosts {
-		if h.Address == p.c.Self.Address || p.peers[h.Address] != nil {
+		if h.Address == p.c.Self.Address {
+			continue
+		}
+		if h.Zone == p.c.Self.Zone {
+			p.members.add(now, h.Address)
+		}
+		if p.peers[h.Address] != nil {
 			continue
 		}
 		x := &peer{EntryHost: h, lastBeacon: now, age: tracker.UnknownAge}
@@ -159,10 +172,21 @@
 	isNew = regular && (x.incarnation != b.Incarnation || !x.reported)
 	x.reported = x.reported || regular
 	x.EntryHost, x.incarnation, x.lastBeacon, x.leaving = b.Host, b.Incarnation, now, b.Leaving
-	x.era, x.age, x.reader, x.loads, x.total, x.down = b.Era, b.Age, b.Reader, b.Loads, b.Total, b.Down
+	x.era, x.age, x.reader, x.loads, x.total, x.down, x.eligible = b.Era, b.Age, b.Reader, b.Loads, b.Total, b.Down, b.Eligible
+	p.recordMember(now, b)
 	return isNew
 }
 
+// recordMember records that the sender of a beacon is a member of this zone unless it is
+// about to stop.
+func (p *Planner) recordMember(now cactuspin.Time, b *encoder.Beacon) {
+	if b.Leaving || b.Host.Zone != p.c.Self.Zone {
+		delete(p.members, b.Host.Address)
+		return
+	}
+	p.members.add(now, b.Host.Address)
+}
+
 // BeginFetch reports whether missing knowledge may be fetched from a host now
 // and, if so, records the time of the fetch.
 func (p *Planner) BeginFetch(now cactuspin.Time, host netip.Addr) bool {
@@ -187,6 +211,10 @@
 	p.leader = plan.Leader
 	plan.Unresponsive = p.newlyUnresponsive(now)
 	p.removeExpired(now)
+	p.members.expire(now)
+	if known.Complete && p.completeSince == 0 {
+		p.completeSince = now
+	}
 	plan.ReadStore = p.shouldRead(now, known, rank, firstPageRead)
 	if now < p.nextBeacon {
 		return plan
