Limit new flows to cold targets over all hosts

Only the owner sends new flows to a cold target; others treat it as unusable. Copies of a SYN go to the target of the first one and are not counted, a new flow from the same port is. Targets are cold by their registration, for warmup_s after their zone's return, and after they refused connections and accept them again, since the registration of a restart under the same ID arrives later. If the warm targets of the own zone have too little room, flows go to other zones by free slots. If all targets are cold, flows are refused at once with the reason targets_cold.

--- a/entrystatus.go
+++ b/entrystatus.go
@@ -16,8 +16,13 @@
 	TargetsDown  []string `json:"targets_down,omitempty"`
 	// EvacuatedZones are the zones whose targets get no new flows.
 	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
-	Flows          int      `json:"flows"`
-	Peers          int      `json:"peers"`
+	// ColdTargets is the number of targets of the host's zone that have not warmed up and
+	// have a limit, FlowsHeldAway the number of new flows that were sent elsewhere or
+	// refused because of them.
+	ColdTargets   int    `json:"cold_targets,omitempty"`
+	FlowsHeldAway uint64 `json:"flows_held_away,omitempty"`
+	Flows         int    `json:"flows"`
+	Peers         int    `json:"peers"`
 	// ReadsStore reports that the host reads the store now, Reader which host's read
 	// the age of its knowledge is based on.
 	ReadsStore      bool              `json:"reads_store"`
--- a/internal/app/entry/admin.go
+++ b/internal/app/entry/admin.go
@@ -33,6 +33,7 @@
 		Version: uint64(s.RoutingVersion), StoreEra: uint64(s.Era), Revision: uint64(s.Revision), KnowledgeAge: s.Age.Seconds(),
 		Targets: s.Targets, Flows: s.Flows, Peers: s.Peers, ReadsStore: s.Reading, Leaving: s.Leaving,
 		Ready: h.engine.Ready(h.common.Clock()), PacketsByReason: map[string]uint64{},
+		ColdTargets: s.ColdTargets, FlowsHeldAway: s.HeldAway,
 		LinesSuppressed: h.reporter.Suppressed(), LinesDropped: h.writer.Dropped(),
 	}
 	if s.Reader.IsValid() {
--- a/internal/diagnosis/tracer/tracer.go
+++ b/internal/diagnosis/tracer/tracer.go
@@ -326,6 +326,7 @@
 	meanings := map[string]string{
 		"no_route":       "no route leads from this address in the configuration in force",
 		"no_target":      "the service has no target that takes new flows",
+		"targets_cold":   "the usable targets of the service had not warmed up, and their limit was reached at this host",
 		"target_gone":    "the registration of its target ended",
 		"target_down":    "its target answered neither packets nor probes, and others had room",
 		"unknown_cookie": "no target has the flow's cookie",
--- a/internal/entry/engine/actions.go
+++ b/internal/entry/engine/actions.go
@@ -86,7 +86,7 @@
 	if r := c.Routing; r != nil {
 		out.note(slog.LevelInfo, "knowledge: routing in force", append([]slog.Attr{
 			slog.Uint64("version", uint64(r.Version)),
-			slog.Uint64("revision", uint64(r.Revision)), slog.Int("routes", len(r.Routes)),
+			slog.Uint64("revision", uint64(r.Revision)), slog.Int("routes", len(r.Routes)), slog.Int("cold_limits", len(r.Warmups)),
 		}, common...)...)
 	}
 	if first {
--- a/internal/entry/engine/engine.go
+++ b/internal/entry/engine/engine.go
@@ -78,7 +78,12 @@
 	trustAfter cactuspin.Time
 	reading    bool
 	leaving    bool
-	fetching   bool
+	// leader reports that this host is the leader of its zone.
+	leader bool
+	// cold and eligible are the numbers of cold targets with a limit and of hosts that may
+	// own them at the last tick.
+	cold, eligible int
+	fetching       bool
 	// fullUpdates is the number of full updates that are being sent to peers.
 	fullUpdates int
 	store       storeState
@@ -91,7 +96,7 @@
 		c:        c,
 		tracker:  tracker.New(),
 		planner:  planner.New(planner.Config{Self: c.Self, Incarnation: c.Incarnation, Seeds: c.Seeds, MaxAge: maxAge, Seed: c.Seed}),
-		balancer: balancer.New(balancer.Config{Zone: c.Self.Zone, Seed: c.Seed, StaleAfter: maxAge, MaxFlows: c.MaxFlows}),
+		balancer: balancer.New(balancer.Config{Self: c.Self.Address, Zone: c.Self.Zone, Seed: c.Seed, StaleAfter: maxAge, MaxFlows: c.MaxFlows}),
 		random:   rand.New(rand.NewPCG(c.Seed, 2)),
 		store:    storeState{retryDelay: minRetryDelay},
 	}
@@ -138,6 +143,8 @@
 	}
 	out.Probes = append(out.Probes, e.balancer.DueProbes(now)...)
 	plan := e.planner.Tick(now, position, e.store.fullRead != nil)
+	e.leader = plan.Leader
+	e.setEligible(now, out)
 	for _, a := range plan.Unresponsive {
 		out.note(slog.LevelInfo, "peer: silent", slog.String("host", a.String()))
 	}
@@ -212,6 +219,10 @@
 	Flows            int
 	Verdicts         map[cactuspin.VerdictReason]uint64
 	Down             []cactuspin.TargetID
+	// ColdTargets is the number of cold targets in this host's zone that have a limit,
+	// HeldAway the number of new flows that were kept from them.
+	ColdTargets int
+	HeldAway    uint64
 }
 
 // Status returns the state of the host for operators and metrics.
@@ -222,6 +233,7 @@
 	return Status{
 		Position: e.tracker.Position(now), Reading: reading, Leaving: leaving, Peers: e.planner.AlivePeers(now),
 		Flows: e.balancer.Flows(), Verdicts: e.balancer.Verdicts(), Down: e.balancer.DownTargets(),
+		ColdTargets: e.balancer.ColdTargets(), HeldAway: e.balancer.HeldAway(),
 	}
 }
 
--- a/internal/entry/engine/peers.go
+++ b/internal/entry/engine/peers.go
@@ -24,16 +24,16 @@
 	b := e.beacon(now)
 	b.ReplyRequested, b.Down = !b.Complete, down.Freshest()
 	zoneBeacon, remoteBeacon := b, b
-	zoneBeacon.Loads, zoneBeacon.Total = own.Largest(), total.Largest()
-	remoteBeacon.Loads = zone.Largest()
+	zoneBeacon.Loads, zoneBeacon.Total = own.LargestBeside(&b), total.LargestBeside(&b)
+	remoteBeacon.Loads, remoteBeacon.Eligible = zone.Largest(), nil
 	out.send(plan.ZoneRecipients, encoder.Datagram{Beacon: &zoneBeacon})
 	out.send(plan.RemoteRecipients, encoder.Datagram{Beacon: &remoteBeacon})
 }
 
 // beacon returns a beacon without loads.
-func (e *Engine) beacon(now cactuspin.Time) encoder.Beacon {
+func (e *Engine) beacon(now cactuspin.Time) (b encoder.Beacon) {
 	p := e.tracker.Position(now)
-	b := encoder.Beacon{
+	b = encoder.Beacon{
 		Era:               p.Era,
 		Host:              e.c.Self,
 		Incarnation:       e.c.Incarnation,
@@ -46,13 +46,37 @@
 		KnowsZones:        true,
 		Complete:          p.Complete,
 		Leaving:           e.leaving,
+		Returns:           e.balancer.RecentReturns(now),
 	}
 	if p.Era > 0 {
 		b.Version = p.RoutingVersion
 	}
+	if e.leader {
+		b.Eligible = e.eligibleHosts(now)
+	}
 	return b
 }
 
+// eligibleHosts returns the hosts that may own the cold targets of this zone, if it has
+// any and this host stays.
+func (e *Engine) eligibleHosts(now cactuspin.Time) encoder.Addresses {
+	if e.leaving || e.balancer.ColdTargets() == 0 {
+		return nil
+	}
+	return e.planner.EligibleHosts(now, e.trustAfter)
+}
+
+// setEligible tells the balancer which hosts may own cold targets.
+func (e *Engine) setEligible(now cactuspin.Time, out *Actions) {
+	hosts := e.eligibleHosts(now)
+	e.balancer.SetEligible(now, hosts)
+	cold := e.balancer.ColdTargets()
+	if (cold == 0) != (e.cold == 0) || len(hosts) != e.eligible {
+		out.note(slog.LevelInfo, "target: cold targets limited", slog.Int("cold", cold), slog.Int("eligible_hosts", len(hosts)))
+	}
+	e.cold, e.eligible = cold, len(hosts)
+}
+
 // Datagram handles a datagram from a peer.
 func (e *Engine) Datagram(now cactuspin.Time, from netip.Addr, d *encoder.Datagram, out *Actions) {
 	e.mu.Lock()
@@ -74,6 +98,9 @@
 		out.note(slog.LevelInfo, "peer: heard", slog.String("host", b.Host.Address.String()), slog.String("zone", string(b.Host.Zone)),
 			slog.Uint64("incarnation", uint64(b.Incarnation)), slog.Uint64("revision", uint64(b.Revision)))
 	}
+	if len(b.Returns) > 0 && now >= e.trustAfter {
+		e.balancer.RecordReturns(now, b.Returns)
+	}
 	if b.ReplyRequested {
 		reply := e.beacon(now)
 		out.send([]netip.Addr{b.Host.Address}, encoder.Datagram{Beacon: &reply})
--- a/internal/entry/meter/meter.go
+++ b/internal/entry/meter/meter.go
@@ -88,9 +88,9 @@
 // instruments are the instruments that are observed when the metrics are
 // collected.
 type instruments struct {
-	age                                                            metric.Float64ObservableGauge
-	version, era, revision, targets, down, evacuated, flows, peers metric.Int64ObservableGauge
-	verdicts, malformed, unsent, io, lost                          metric.Int64ObservableCounter
+	age                                                                  metric.Float64ObservableGauge
+	version, era, revision, targets, down, evacuated, cold, flows, peers metric.Int64ObservableGauge
+	verdicts, malformed, unsent, io, lost, heldAway                      metric.Int64ObservableCounter
 }
 
 func (m *Meter) observe(meter metric.Meter) (err error) {
@@ -112,6 +112,8 @@
 	i.targets = gauge("cactuspin.targets", "Registered targets.")
 	i.down = gauge("cactuspin.targets.down", "Targets that answer neither packets nor probes.")
 	i.evacuated = gauge("cactuspin.zones.evacuated", "Zones whose targets get no new flows.")
+	i.cold = gauge("cactuspin.targets.cold", "Targets of the zone that have not warmed up and have a limit.")
+	i.heldAway = counter("cactuspin.flows.held_away", "{flow}", "New flows sent elsewhere or refused because targets of the zone are cold.")
 	i.flows = gauge("cactuspin.flows", "Flows remembered.")
 	i.peers = gauge("cactuspin.peers", "Other hosts heard.")
 	i.verdicts = counter("cactuspin.packets", "{packet}", "Packets by the reason of their verdict.")
@@ -126,7 +128,7 @@
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		m.collect(o, &i)
 		return nil
-	}, i.age, i.version, i.era, i.revision, i.targets, i.down, i.evacuated, i.flows, i.peers, i.verdicts, i.malformed, i.unsent, i.io, i.lost)
+	}, i.age, i.version, i.era, i.revision, i.targets, i.down, i.evacuated, i.flows, i.peers, i.verdicts, i.malformed, i.unsent, i.io, i.lost, i.cold, i.heldAway)
 	return errors.WithStack(err)
 }
 
@@ -139,6 +141,8 @@
 	o.ObserveInt64(i.targets, int64(s.Targets))
 	o.ObserveInt64(i.down, int64(len(s.Down)))
 	o.ObserveInt64(i.evacuated, int64(len(s.Evacuated)))
+	o.ObserveInt64(i.cold, int64(s.ColdTargets))
+	o.ObserveInt64(i.heldAway, int64(s.HeldAway))
 	o.ObserveInt64(i.flows, int64(s.Flows))
 	o.ObserveInt64(i.peers, int64(s.Peers))
 	for reason, n := range s.Verdicts {
--- a/internal/steering/balancer/balancer.go
+++ b/internal/steering/balancer/balancer.go
@@ -5,6 +5,7 @@
 package balancer
 
 import (
+	"net/netip"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -29,6 +30,8 @@
 
 // Config configures a balancer.
 type Config struct {
+	// Self is the address of this host.
+	Self netip.Addr
 	Zone cactuspin.ZoneID
 	Seed uint64
 	// StaleAfter is the age beyond which knowledge is stale; packets are then
@@ -60,8 +63,10 @@
 	removed []*target
 	// evacuations holds the states of the zones.
 	evacuations evacuations
-	active      activeSet
-	flows       flowTable
+	// warmups limits the new flows to cold targets.
+	warmups *warmups
+	active  activeSet
+	flows   flowTable
 	// confirmed is the time at which the knowledge in use was last up to date,
 	// healthySince the time of the store's last recovery from a failure.
 	confirmed    atomic.Int64
@@ -74,7 +79,7 @@
 }
 
 // verdictReasons is the number of verdict reasons.
-const verdictReasons = int(cactuspin.ReasonForged) + 1
+const verdictReasons = int(cactuspin.ReasonTargetsCold) + 1
 
 // routeTable is one version of the routes, indexed by service address.
 type routeTable struct {
@@ -103,6 +108,7 @@
 		unnamed:    map[cactuspin.TargetID]cactuspin.RegisteredTarget{},
 
 		evacuations: evacuations{},
+		warmups:     &warmups{self: c.Self, zone: c.Zone},
 	}
 	b.flows.init(c.MaxFlows, c.Seed)
 	b.Reconfigure(c.StaleAfter)
@@ -132,6 +138,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.active.tick(now)
+	b.warmups.count(now)
 	for len(b.removed) > 0 && now.Sub(b.removed[0].removedAt) > removedRetention {
 		t := b.removed[0]
 		b.removed = b.removed[1:]
@@ -236,13 +243,13 @@
 	f := h.flows[keyOf(p)]
 	v.Reason, v.Retransmitted = cactuspin.ReasonPlaced, p.Acknowledgement > 0
 	var t *target
-	if f != nil && f.target != nil {
+	if f != nil && f.target != nil && !f.beginsAgain(now, v.Retransmitted) {
 		t, v.Reason = b.placeRetransmission(now, h, f, route)
 	} else {
 		t = b.place(now, h, route, nil)
 	}
 	if t == nil {
-		return b.refuse(now, p, v, cactuspin.ReasonNoTarget)
+		return b.refuse(now, p, v, b.reasonWithoutTarget(route))
 	}
 	b.active.add(t)
 	h.open(now, p, t, route)
@@ -275,7 +282,7 @@
 	if v == nil {
 		return nil
 	}
-	return v.choose(now, b.config.Zone, exclude, h.random)
+	return b.chooseAdmitted(now, v, exclude, h.random)
 }
 
 // chooseService chooses the service of a new flow by the weights of the route.
--- a/internal/steering/balancer/health.go
+++ b/internal/steering/balancer/health.go
@@ -82,6 +82,8 @@
 	// probationUntil is the end of the time in which an answered probe does not prove that
 	// the target has returned.
 	probationUntil cactuspin.Time
+	// refused reports that the last probe with a finding was refused.
+	refused bool
 	// reportedUntil is how long new flows avoid the target because another host found
 	// it down.
 	reportedUntil cactuspin.Time
@@ -155,6 +157,9 @@
 			h.probationUntil = now.Add(probationTime)
 		}
 	}()
+	if f != FindingNone {
+		h.refused = f == FindingRefused
+	}
 	switch {
 	case f == FindingAlive:
 		h.condition, h.silentProbes, h.trustedUntil, h.reportedUntil = healthy, 0, now.Add(probeTrustTime), 0
@@ -209,6 +214,13 @@
 	return now < h.reportedUntil || now < h.probationUntil || h.condition >= down || (h.condition == suspect && now.Sub(h.lastMissed) < suspectTimeout)
 }
 
+// hasRefused reports whether the last probe with a finding was refused.
+func (h *health) hasRefused() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.refused
+}
+
 // isHealthy reports whether the target is neither suspect nor down.
 func (h *health) isHealthy() bool {
 	h.mu.Lock()
@@ -268,6 +280,15 @@
 // RecordProbe records the finding of a probe that began at began. It reports
 // whether the condition of the target changed.
 func (b *Balancer) RecordProbe(now, began cactuspin.Time, id cactuspin.TargetID, f Finding) (changed bool) {
+	changed, restarted := b.recordProbe(now, began, id, f)
+	if restarted {
+		b.recordRestart(now, id)
+	}
+	return changed
+}
+
+// recordProbe also reports whether the target seems to have restarted.
+func (b *Balancer) recordProbe(now, began cactuspin.Time, id cactuspin.TargetID, f Finding) (changed, restarted bool) {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	t := b.targets[id]
@@ -275,19 +296,20 @@
 		b.recordPath(now)
 	}
 	if t == nil {
-		return false
+		return false, false
 	}
 	// If nothing answered this host meanwhile, its own links may be down. Probes of
 	// other targets show whether they are.
 	if f == FindingSilent && cactuspin.Time(b.lastAnswer.Load()) < began {
 		b.suspectOthers(now, began, t)
-		return false
+		return false, false
 	}
+	restarted = f == FindingAlive && t.health.hasRefused()
 	changed = t.health.recordProbe(now, began, f)
 	if changed && f != FindingAlive {
 		b.suspectOthers(now, began, t)
 	}
-	return changed
+	return changed, restarted
 }
 
 // suspectOthers lets some other targets in the zone of t be probed: if a whole zone
--- a/internal/steering/balancer/knowledge.go
+++ b/internal/steering/balancer/knowledge.go
@@ -29,9 +29,15 @@
 	for i := range c.Zones {
 		b.evacuations.apply(now, &c.Zones[i])
 	}
+	if len(c.Zones) > 0 && len(b.warmups.settings) > 0 {
+		b.warmups.collect(now, b.services)
+	}
 	if c.Routing != nil {
 		b.setRouting(now, c.Routing)
 	}
+	if b.warmups.changed {
+		b.warmups.count(now)
+	}
 }
 
 func (b *Balancer) setRouting(now cactuspin.Time, r *cactuspin.Routing) {
@@ -46,6 +52,7 @@
 		t.routes[e] = x
 	}
 	b.routes.Store(t)
+	b.setWarmups(now, r)
 	b.setNamedServices(now, r)
 }
 
@@ -81,6 +88,7 @@
 			defer b.byAddress.add(t)
 		}
 		t.update(now, r)
+		b.warmups.update(now, t)
 		return
 	}
 	if t != nil && t.registered.Service != r.Service && !b.namedServices[r.Service] {
@@ -95,7 +103,7 @@
 	}
 	v := b.services[r.Service]
 	if v == nil {
-		v = &service{name: r.Service, named: b.namedServices[r.Service], evacuations: b.evacuations}
+		v = &service{name: r.Service, named: b.namedServices[r.Service], evacuations: b.evacuations, warmups: b.warmups, limit: b.warmups.of(r.Service)}
 		b.services[r.Service] = v
 	}
 	t = newTarget(now, r, v)
@@ -105,4 +113,5 @@
 	t.zone.targets = append(t.zone.targets, t)
 	b.byAddress.add(t)
 	b.targets[r.ID] = t
+	b.warmups.update(now, t)
 }
--- a/internal/steering/balancer/service.go
+++ b/internal/steering/balancer/service.go
@@ -35,6 +35,9 @@
 	zones []*zone
 	// evacuations holds the states of the zones, shared by all services.
 	evacuations evacuations
+	// limit is what limits new flows to cold targets, or nil.
+	limit   *cactuspin.ServiceSettings
+	warmups *warmups
 }
 
 // zone holds the targets of a service in one zone.
@@ -44,6 +47,8 @@
 	targets []*target
 	// evacuation is the state of the zone.
 	evacuation *evacuation
+	// cold is the number of cold targets with a limit.
+	cold int
 	// utilization is the share of the slots in use, with the requests of all hosts.
 	utilization float64
 	// slots is the number of slots at the last update of utilization, or -1 before.
@@ -108,7 +113,7 @@
 		if z.name == local {
 			own = z
 		}
-		if len(z.targets) > 0 && !z.evacuation.active(now) && (least == nil || z.utilization < least.utilization) {
+		if len(z.targets) > z.cold && !z.evacuation.active(now) && (least == nil || z.utilization < least.utilization) {
 			least = z
 		}
 	}
@@ -132,7 +137,7 @@
 			continue
 		}
 		for _, t := range z.targets[:min(len(z.targets), maxCandidates)] {
-			if t.usable(now) && !t.suspect(now) {
+			if t.usable(now) && !t.suspect(now) && !t.limitedCold(now) {
 				return true
 			}
 		}
@@ -146,13 +151,17 @@
 	if n == 0 || z.evacuation.active(now) {
 		return nil, nil
 	}
-	first, compared := random.IntN(n), 0
+	first, compared, held := random.IntN(n), 0, 0
 	lowest := math.Inf(1)
-	for i := 0; i < n && compared < maxCandidates; i++ {
+	for i := 0; i < n && compared < maxCandidates && held < maxHeld; i++ {
 		t := z.targets[(first+i)%n]
 		if !t.usable(now) || t == exclude {
 			continue
 		}
+		if t.held(now) {
+			held++
+			continue
+		}
 		compared++
 		if t.suspect(now) {
 			// A flow to a dead target would leave its caller waiting for nothing.
@@ -176,7 +185,7 @@
 	idle := float64(t.flows.Load()) - busy
 	slots := float64(t.registered.Slots)
 	factor := t.slowness.factor(now)
-	if now < t.warmUntil {
+	if t.cold(now) {
 		factor = max(factor, warmupPenalty)
 	}
 	return (busy+idleFlowLoad*max(0, idle)+1)/slots*factor + t.failureLoad
--- a/internal/steering/balancer/target.go
+++ b/internal/steering/balancer/target.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/steering/warmup"
 )
 
 const (
@@ -28,6 +29,10 @@
 	group *addressGroup
 	// warmUntil is when the target has warmed up.
 	warmUntil cactuspin.Time
+	// limiter limits the new flows while the target is cold; nil without a limit.
+	limiter *warmup.Limiter
+	// listedCold reports that the target is in warmups.cold.
+	listedCold bool
 	// removedAt is when the target counts as removed, or 0.
 	removedAt cactuspin.Time
 	// flows and busy count the flows and the requests in progress that this host
@@ -48,6 +53,7 @@
 
 func newTarget(now cactuspin.Time, r *cactuspin.RegisteredTarget, v *service) *target {
 	t := &target{service: v, zone: v.zone(r.Zone), cookie: CookieOf(r.ID)}
+	t.limit(now)
 	t.update(now, r)
 	return t
 }
@@ -66,8 +72,12 @@
 		t.slowness.reset()
 		t.failures = 0
 	}
+	if r.Started != t.registered.Started || t.limiter == nil {
+		t.warmUntil = 0
+	}
 	t.registered = *r
-	t.warmUntil = now.Add(r.Warmup)
+	// A target with a limit may have restarted since it wrote the registration.
+	t.warmUntil = max(t.warmUntil, now.Add(r.Warmup))
 	t.removedAt = 0
 }
 
--- a/packet.go
+++ b/packet.go
@@ -59,13 +59,15 @@
 	ReasonUnknownCookie
 	ReasonNotReady
 	ReasonForged
+	// ReasonTargetsCold means that all usable targets are cold and may get no further flow.
+	ReasonTargetsCold
 )
 
 // String returns the form used in logs and metrics.
 func (r VerdictReason) String() string {
 	return [...]string{
 		"established", "placed", "copy_same_target", "copy_other_target", "no_route", "no_target",
-		"target_gone", "target_down", "unknown_cookie", "not_ready", "forged",
+		"target_gone", "target_down", "unknown_cookie", "not_ready", "forged", "targets_cold",
 	}[r]
 }
 
