--- a/entrystatus.go
+++ b/entrystatus.go
@@ -17,7 +17,7 @@
 	// EvacuatedZones are the zones whose targets get no new flows.
 	EvacuatedZones []string `json:"evacuated_zones,omitempty"`
 	// ColdTargets is the number of targets of the host's zone that have not warmed up and
-	// have a limit, FlowsHeldAway the number of new flows that were sent elsewhere or
+	// have a limit, FlowsHeldAway the number of new flows that were sent to other zones or
 	// refused because of them.
 	ColdTargets   int    `json:"cold_targets,omitempty"`
 	FlowsHeldAway uint64 `json:"flows_held_away,omitempty"`
--- a/internal/entry/meter/meter.go
+++ b/internal/entry/meter/meter.go
@@ -113,7 +113,7 @@
 	i.down = gauge("cactuspin.targets.down", "Targets that answer neither packets nor probes.")
 	i.evacuated = gauge("cactuspin.zones.evacuated", "Zones whose targets get no new flows.")
 	i.cold = gauge("cactuspin.targets.cold", "Targets of the zone that have not warmed up and have a limit.")
-	i.heldAway = counter("cactuspin.flows.held_away", "{flow}", "New flows sent elsewhere or refused because targets of the zone are cold.")
+	i.heldAway = counter("cactuspin.flows.held_away", "{flow}", "New flows sent to other zones or refused because targets of the zone are cold.")
 	i.flows = gauge("cactuspin.flows", "Flows remembered.")
 	i.peers = gauge("cactuspin.peers", "Other hosts heard.")
 	i.verdicts = counter("cactuspin.packets", "{packet}", "Packets by the reason of their verdict.")
--- a/internal/steering/balancer/warmup.go
+++ b/internal/steering/balancer/warmup.go
@@ -73,7 +73,7 @@
 // ColdTargets returns the number of cold targets in this host's zone that have a limit.
 func (b *Balancer) ColdTargets() int { return int(b.warmups.own.Load()) }
 
-// HeldAway returns the number of new flows that were sent elsewhere or refused because
+// HeldAway returns the number of new flows that were sent to other zones or refused because
 // targets of this host's zone are cold.
 func (b *Balancer) HeldAway() uint64 { return b.warmups.heldAway.Load() }
 
@@ -213,7 +213,7 @@
 		}
 		t = nil
 	}
-	if z := v.existingZone(b.config.Zone); z != nil && z.cold > 0 && (t == nil || !t.cold(now)) {
+	if z := v.existingZone(b.config.Zone); z != nil && z.cold > 0 && (t == nil || (t.zone != z && z.shortOfWarm())) {
 		b.warmups.heldAway.Add(1)
 	}
 	return t
--- a/internal/steering/balancer/warmup_test.go
+++ b/internal/steering/balancer/warmup_test.go
@@ -107,6 +107,7 @@
 	counts := x.count()
 	g.Expect(counts[1]).To(BeNumerically("<=", 6))
 	g.Expect(counts[2]).To(BeNumerically(">=", 194))
+	g.Expect(x.HeldAway()).To(BeZero(), "none left the zone")
 }
 
 // Guards against callers that wait for an answer that does not come, and against a reason
