--- a/internal/standin/netemulator/target.go
+++ b/internal/standin/netemulator/target.go
@@ -22,7 +22,8 @@
 
 // targetFlow is the state of a flow at a target.
 type targetFlow struct {
-	seq, cookie, expected uint32
+	// initial is the sequence number of the flow's SYN, expected that of its next data.
+	seq, cookie, initial, expected uint32
 	response              []packet
 	processing            bool
 }
@@ -130,12 +131,12 @@
 		if !t.drainingSince.IsZero() {
 			t.oracle.flowOpenedWhileDraining(time.Since(t.drainingSince))
 		}
-		if f == nil {
-			f = &targetFlow{seq: rand.Uint32()}
+		if f == nil || f.initial != p.seq {
+			f = &targetFlow{seq: rand.Uint32(), initial: p.seq, expected: p.seq + 1}
 			t.flows[p.from] = f
 		}
-		f.cookie, f.expected = p.cookie, p.seq+1
-		t.send(packet{from: p.to, to: p.from, cookie: p.cookie, flags: bitSYN | bitACK, seq: f.seq, ack: f.expected})
+		f.cookie = p.cookie
+		t.send(packet{from: p.to, to: p.from, cookie: p.cookie, flags: bitSYN | bitACK, seq: f.seq, ack: p.seq + 1})
 	case f == nil:
 		t.send(packet{from: p.to, to: p.from, cookie: p.cookie, flags: bitRST, seq: p.ack})
 	case len(p.data) > 0:
