--- a/internal/standin/netemulator/target.go
+++ b/internal/standin/netemulator/target.go
@@ -24,8 +24,8 @@
 type targetFlow struct {
 	// initial is the sequence number of the flow's SYN, expected that of its next data.
 	seq, cookie, initial, expected uint32
-	response              []packet
-	processing            bool
+	response                       []packet
+	processing                     bool
 }
 
 // Target emulates a back end.
