Let the store's stand-in begin long answers in time

TestHostsFollowTheStoreBesideOddEntries failed under the race detector: the stand-in encoded a whole answer of 20 MB before it wrote the first byte, which took longer (2.98 s in a trace) than a watch may wait for it (1.16 s). The host gave up each watch and repeated it. The platform's store answers within milliseconds, so that the fault is the stand-in's.

Items are encoded once, when they are written, and answers are written item by item. A range no longer holds the store's lock while it writes.

--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -29,6 +30,15 @@
 	Created  uint64 `json:"created,omitempty"`
 	Lease    uint64 `json:"lease"`
 	Deleted  bool   `json:"deleted,omitempty"`
+	// encoded is the item as answers list it. It is encoded once, when it is written, since
+	// the platform's store begins its answers within milliseconds, however long they are.
+	encoded []byte
+}
+
+// encode returns the item with its encoded form.
+func (x item) encode() item {
+	x.encoded, _ = json.Marshal(x) // The fields of an item always have a form in JSON.
+	return x
 }
 
 // Store is an in-memory metadata store. It is safe for concurrent use.
@@ -66,6 +76,7 @@
 	if old, ok := s.items[key]; ok {
 		x.Created = old.Created
 	}
+	x = x.encode()
 	s.items[key] = x
 	s.record(x)
 }
@@ -77,7 +88,7 @@
 	if _, ok := s.items[key]; ok {
 		s.revision++
 		delete(s.items, key)
-		s.record(item{Key: key, Revision: s.revision, Deleted: true})
+		s.record(item{Key: key, Revision: s.revision, Deleted: true}.encode())
 	}
 }
 
@@ -140,20 +151,35 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
+// writeItems writes a list of items under a name, followed by other members.
+func writeItems(w http.ResponseWriter, name string, items []item, others map[string]any) {
+	w.Header().Set("Content-Type", "application/json")
+	members, _ := json.Marshal(others) // Numbers and booleans can always be encoded.
+	_, _ = io.WriteString(w, `{"`+name+`":[`)
+	for i := range items {
+		if i > 0 {
+			_, _ = io.WriteString(w, ",")
+		}
+		_, _ = w.Write(items[i].encoded)
+	}
+	_, _ = io.WriteString(w, "],"+string(members[1:])+"\n")
+}
+
 func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.writeEra(w)
 	q := r.URL.Query()
 	matching := []item{}
+	s.mu.Lock()
+	revision := s.revision
+	s.writeEra(w)
 	for k, x := range s.items {
 		if strings.HasPrefix(k, q.Get("prefix")) && k > q.Get("after") {
 			matching = append(matching, x)
 		}
 	}
+	s.mu.Unlock()
 	slices.SortFunc(matching, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
 	page := firstPage(matching)
-	writeJSON(w, map[string]any{"items": page, "has_more": len(page) < len(matching), "store_revision": s.revision})
+	writeItems(w, "items", page, map[string]any{"has_more": len(page) < len(matching), "store_revision": revision})
 }
 
 // firstPage returns the items that fit into one page.
@@ -195,7 +221,7 @@
 			return
 		}
 		if len(events) > 0 || timedOut {
-			writeJSON(w, map[string]any{"events": events, "store_revision": revision})
+			writeItems(w, "events", events, map[string]any{"store_revision": revision})
 			return
 		}
 		select {
