Explain where a new flow would go and why

Operators saw the zones of a service in an explanation, but neither the rule that decides nor what a host knows of each target, and of one host only.

The host finds the shares by 400 trial choices with the code that places flows, which now returns the rule that decided; the choice of a cold target is split from its counting against the limit. Trial choices have random numbers of their own and count nothing. An explanation for a new flow takes no lock of a flow shard.

An explanation for an address that is not IPv4 ended its connection (panic in As4, recovered by net/http); it is now answered with 400.

--- a/internal/app/entry/admin.go
+++ b/internal/app/entry/admin.go
@@ -5,6 +5,9 @@
 	"log/slog"
 	"net/http"
 	"net/netip"
+	"net/url"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/cactuspin/cactuspin"
 )
@@ -15,17 +18,39 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET "+cactuspin.EntryStatusPath, func(w http.ResponseWriter, _ *http.Request) { h.writeJSON(w, h.statusReport()) })
 	m.HandleFunc("GET "+cactuspin.EntryExplainPath, func(w http.ResponseWriter, r *http.Request) {
-		caller, e1 := netip.ParseAddrPort(r.URL.Query().Get("caller"))
-		service, e2 := netip.ParseAddrPort(r.URL.Query().Get("service"))
-		if e1 != nil || e2 != nil {
-			http.Error(w, "caller and service must be IP:port", http.StatusBadRequest)
+		caller, service, err := parseFlow(r.URL.Query())
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		h.writeJSON(w, h.engine.Explain(h.common.Clock(), caller, service))
+		x := h.engine.Explain(h.common.Clock(), caller, service)
+		x.Host = h.settings.Load().Name
+		h.writeJSON(w, x)
 	})
 	return m
 }
 
+// parseFlow parses the caller and the service of a query. Without a caller, the query is
+// about a new flow.
+func parseFlow(q url.Values) (caller, service netip.AddrPort, err error) {
+	service, err = parseIPv4(q.Get("service"))
+	if err == nil && q.Has("caller") {
+		caller, err = parseIPv4(q.Get("caller"))
+	}
+	if err != nil {
+		return netip.AddrPort{}, netip.AddrPort{}, errors.New("caller and service must be IP:port")
+	}
+	return caller, service, nil
+}
+
+// parseIPv4 parses an IPv4 address with a port. Packets have no other addresses.
+func parseIPv4(text string) (a netip.AddrPort, err error) {
+	if a, err = netip.ParseAddrPort(text); err == nil && !a.Addr().Is4() {
+		err = errors.New("not an IPv4 address")
+	}
+	return a, errors.WithStack(err)
+}
+
 func (h *host) statusReport() cactuspin.EntryStatus {
 	s := h.status()
 	report := cactuspin.EntryStatus{
--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -127,7 +127,11 @@
 	g.Expect(status.Reader).To(Equal(address))
 	g.Expect(status.PacketsByReason).To(HaveKeyWithValue("placed", uint64(1)))
 	g.Expect(get(address + ":8166" + cactuspin.EntryExplainPath + "?caller=127.77.0.7:40001&service=198.18.0.1:443")).To(ContainSubstring("i-0000000a"))
-	g.Expect(get(address + ":8166" + cactuspin.EntryExplainPath + "?caller=x")).To(HavePrefix("400"))
+	g.Expect(get(address + ":8166" + cactuspin.EntryExplainPath + "?service=198.18.0.1:443")).To(And(HavePrefix("200"), ContainSubstring(`"host": "h"`), ContainSubstring("own zone")))
+	// Packets have IPv4 addresses only; others must not reach the balancer.
+	for _, query := range []string{"caller=x", "service=198.18.0.1:443&caller=x", "service=[::1]:443", "service=198.18.0.1:443&caller="} {
+		g.Expect(get(address + ":8166" + cactuspin.EntryExplainPath + "?" + query)).To(HavePrefix("400"))
+	}
 	g.Eventually(func() (string, error) {
 		h.meter.RecordResponseTime(40 * time.Millisecond)
 		return get(address + ":9464/metrics")
--- a/internal/app/operator/operator.go
+++ b/internal/app/operator/operator.go
@@ -61,7 +61,7 @@
 	commands := make(map[string]command)
 	for _, c := range []command{
 		&keyCommand{}, &checkCommand{}, &diffCommand{}, &signCommand{},
-		&applyCommand{}, &statusCommand{}, &explainCommand{}, &traceCommand{}, &entryCommand{},
+		&applyCommand{}, &statusCommand{}, &explainCommand{}, &traceCommand{}, &entryCommand{}, &whereCommand{},
 	} {
 		commands[c.register(a).FullCommand()] = c
 	}
--- a/internal/steering/balancer/balancer.go
+++ b/internal/steering/balancer/balancer.go
@@ -5,6 +5,7 @@
 package balancer
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"sync"
@@ -185,13 +186,17 @@
 // stale, since the target or route may be new, or if the packet is a reset itself.
 func (b *Balancer) refuse(now cactuspin.Time, p *cactuspin.Packet, v cactuspin.Verdict, reason cactuspin.VerdictReason) cactuspin.Verdict {
 	v.Kind, v.Reason = cactuspin.VerdictReset, reason
-	stale := now.Sub(cactuspin.Time(b.confirmed.Load())) > time.Duration(b.staleAfter.Load())
-	if stale || p.Flags&cactuspin.FlagRST != 0 {
+	if b.stale(now) || p.Flags&cactuspin.FlagRST != 0 {
 		v.Kind = cactuspin.VerdictDrop
 	}
 	return v
 }
 
+// stale reports whether the knowledge in use is stale.
+func (b *Balancer) stale(now cactuspin.Time) bool {
+	return now.Sub(cactuspin.Time(b.confirmed.Load())) > time.Duration(b.staleAfter.Load())
+}
+
 // steerEstablished forwards a packet of an open flow to the target of its cookie.
 func (b *Balancer) steerEstablished(now cactuspin.Time, p *cactuspin.Packet, h *flowShard, route *route, v cactuspin.Verdict) cactuspin.Verdict {
 	b.mu.RLock()
@@ -216,10 +221,7 @@
 		f.unassign()
 		return b.refuse(now, p, v, cactuspin.ReasonTargetGone)
 	}
-	// A flow whose requests may run again is reset at once if its target is dead
-	// and targets to which the route leads have free slots. Flows of other requests stay open: the
-	// answer may still come directly from the target.
-	if p.Length > 0 && route.Kind != cactuspin.WorkNonIdempotent && t.health.allowsReset(now, v.Retransmitted) && b.hasCapacity(now, route) {
+	if p.Length > 0 && b.resetsAtTarget(now, route, t, v.Retransmitted) {
 		f.unassign()
 		return b.refuse(now, p, v, cactuspin.ReasonTargetDown)
 	}
@@ -228,6 +230,14 @@
 	return v
 }
 
+// resetsAtTarget reports whether a flow with new or repeated data is reset because of the
+// condition of its target. A flow whose requests may run again is reset at once if its
+// target is dead and targets to which the route leads have free slots. Flows of other
+// requests stay open: the answer may still come directly from the target.
+func (b *Balancer) resetsAtTarget(now cactuspin.Time, r *route, t *target, retransmitted bool) bool {
+	return r.Kind != cactuspin.WorkNonIdempotent && t.health.allowsReset(now, retransmitted) && b.hasCapacity(now, r)
+}
+
 // hasCapacity reports whether a service to which a route leads has room for a new flow.
 func (b *Balancer) hasCapacity(now cactuspin.Time, r *route) bool {
 	return slices.ContainsFunc(r.Services, func(w cactuspin.WeightedService) bool {
@@ -246,7 +256,7 @@
 	if f != nil && f.target != nil && !f.beginsAgain(now, v.Retransmitted) {
 		t, v.Reason = b.placeRetransmission(now, h, f, route)
 	} else {
-		t = b.place(now, h, route, nil)
+		t, _ = b.place(now, h.random, route, nil)
 	}
 	if t == nil {
 		return b.refuse(now, p, v, b.reasonWithoutTarget(route))
@@ -265,28 +275,30 @@
 func (b *Balancer) placeRetransmission(now cactuspin.Time, h *flowShard, f *flow, route *route) (*target, cactuspin.VerdictReason) {
 	t := f.target
 	if !t.usable(now) || !route.leadsTo(t.service.name) {
-		return b.place(now, h, route, nil), cactuspin.ReasonCopyOtherTarget
+		other, _ := b.place(now, h.random, route, nil)
+		return other, cactuspin.ReasonCopyOtherTarget
 	}
 	t.health.recordMiss(now, f.lastSeen)
 	if t.suspect(now) {
-		if other := b.place(now, h, route, t); other != nil {
+		if other, _ := b.place(now, h.random, route, t); other != nil {
 			return other, cactuspin.ReasonCopyOtherTarget
 		}
 	}
 	return t, cactuspin.ReasonCopySameTarget
 }
 
-// place chooses a target for a new flow of a route, other than exclude.
-func (b *Balancer) place(now cactuspin.Time, h *flowShard, route *route, exclude *target) *target {
-	v := b.chooseService(h, route)
+// place chooses a target for a new flow of a route, other than exclude, and returns the
+// rule that decided. It counts the flow against the limit of a cold target.
+func (b *Balancer) place(now cactuspin.Time, random *rand.Rand, route *route, exclude *target) (*target, rule) {
+	v := b.chooseService(random, route)
 	if v == nil {
-		return nil
+		return nil, ruleNoTarget
 	}
-	return b.chooseAdmitted(now, v, exclude, h.random)
+	return b.chooseAdmitted(now, v, exclude, random)
 }
 
 // chooseService chooses the service of a new flow by the weights of the route.
-func (b *Balancer) chooseService(h *flowShard, route *route) *service {
+func (b *Balancer) chooseService(random *rand.Rand, route *route) *service {
 	if len(route.Services) == 1 {
 		return b.services[route.Services[0].Service]
 	}
@@ -297,7 +309,7 @@
 	if total == 0 {
 		return nil
 	}
-	n := h.random.Uint32N(total)
+	n := random.Uint32N(total)
 	for _, w := range route.Services {
 		if n < w.Weight {
 			return b.services[w.Service]
--- a/internal/steering/balancer/balancer_benchmark_test.go
+++ b/internal/steering/balancer/balancer_benchmark_test.go
@@ -147,3 +147,13 @@
 		}
 	}
 }
+
+// BenchmarkExplain measures an explanation, for which changes of the knowledge wait.
+func BenchmarkExplain(b *testing.B) {
+	benchmarkSizes(b, func(b *testing.B, lb *balancer.Balancer) {
+		service := netip.MustParseAddrPort("198.18.0.1:443")
+		for b.Loop() {
+			lb.Explain(now, netip.AddrPort{}, service)
+		}
+	})
+}
--- a/internal/steering/balancer/service.go
+++ b/internal/steering/balancer/service.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -74,15 +73,16 @@
 	}
 }
 
-// choose returns the target for a new flow of callers in the zone local. Targets
-// that fail much more often than others are used only if there is no other,
-// suspect targets last, and dead ones never.
-func (v *service) choose(now cactuspin.Time, local cactuspin.ZoneID, exclude *target, random *rand.Rand) *target {
+// choose returns the target for a new flow of callers in the zone local, and the rule that
+// decided. Targets that fail much more often than others are used only if there is no
+// other, suspect targets last, and dead ones never.
+func (v *service) choose(now cactuspin.Time, local cactuspin.ZoneID, exclude *target, random *rand.Rand) (*target, rule) {
 	var failing, suspect *target
-	if z := v.firstZone(now, local, random); z != nil {
+	z, decided := v.firstZone(now, local, random)
+	if z != nil {
 		t, s := z.choose(now, exclude, random)
 		if t != nil && !t.failing() {
-			return t
+			return t, decided
 		}
 		failing, suspect = t, s
 	}
@@ -100,14 +100,22 @@
 			suspect = s
 		}
 	}
-	return cmp.Or(best, failing, suspect)
+	switch {
+	case best != nil:
+		return best, ruleOtherZone
+	case failing != nil:
+		return failing, ruleOnlyFailing
+	case suspect != nil:
+		return suspect, ruleOnlySuspect
+	}
+	return nil, ruleNoTarget
 }
 
-// firstZone returns the local zone, or nil if the service has no targets there. If
-// the local zone is crowded, it returns the least utilized zone instead with a
-// probability that grows with the difference in utilization. Flows of an evacuated zone
-// go to any zone by its free slots.
-func (v *service) firstZone(now cactuspin.Time, local cactuspin.ZoneID, random *rand.Rand) *zone {
+// firstZone returns the local zone, or nil if the service has no targets there, and the
+// rule by which the zone was chosen. If the local zone is crowded, it returns the least
+// utilized zone instead with a probability that grows with the difference in utilization.
+// Flows of an evacuated zone go to any zone by its free slots.
+func (v *service) firstZone(now cactuspin.Time, local cactuspin.ZoneID, random *rand.Rand) (*zone, rule) {
 	var own, least *zone
 	for _, z := range v.zones {
 		if z.name == local {
@@ -118,15 +126,15 @@
 		}
 	}
 	if v.evacuations.active(now, local) {
-		return v.chooseDisplaced(now, random)
+		return v.chooseDisplaced(now, random), ruleZoneEvacuated
 	}
 	if own == nil || least == nil || own.utilization < spillThreshold || own.utilization-least.utilization < spillMargin {
-		return own
+		return own, ruleOwnZone
 	}
 	if random.Float64()*own.utilization < (own.utilization-least.utilization)/2 {
-		return least
+		return least, ruleOwnZoneCrowded
 	}
-	return own
+	return own, ruleOwnZone
 }
 
 // hasCapacity reports whether a zone has free slots and a usable target that is
--- a/internal/steering/balancer/warmup.go
+++ b/internal/steering/balancer/warmup.go
@@ -198,47 +198,54 @@
 }
 
 // chooseAdmitted chooses the target for a new flow and counts the flow against its limit.
-func (b *Balancer) chooseAdmitted(now cactuspin.Time, v *service, exclude *target, random *rand.Rand) *target {
+func (b *Balancer) chooseAdmitted(now cactuspin.Time, v *service, exclude *target, random *rand.Rand) (t *target, decided rule) {
 	if v.limit == nil {
 		return v.choose(now, b.config.Zone, exclude, random)
 	}
-	var t *target
 	for range maxAttempts {
-		t = v.chooseAroundCold(now, b.config.Zone, exclude, random)
-		if t == nil {
-			t = v.choose(now, b.config.Zone, exclude, random)
-		}
+		t, decided = v.chooseWithCold(now, b.config.Zone, exclude, random)
 		if t == nil || t.admit(now) {
 			break
 		}
-		t = nil
+		t, decided = nil, ruleNoTarget
 	}
 	if z := v.existingZone(b.config.Zone); z != nil && z.cold > 0 && (t == nil || (t.zone != z && z.shortOfWarm())) {
 		b.warmups.heldAway.Add(1)
 	}
-	return t
+	return t, decided
+}
+
+// chooseWithCold chooses the target for a new flow of a service with or without a limit. It
+// counts nothing, so that explanations use it, too.
+func (v *service) chooseWithCold(now cactuspin.Time, local cactuspin.ZoneID, exclude *target, random *rand.Rand) (*target, rule) {
+	if v.limit != nil {
+		if t, decided := v.chooseAroundCold(now, local, exclude, random); t != nil {
+			return t, decided
+		}
+	}
+	return v.choose(now, local, exclude, random)
 }
 
 // chooseAroundCold places the share of the flows that the cold targets of the local zone
 // would get: at a cold target if possible, otherwise in other zones by their free slots. If
 // all went to the few warm targets of the zone, they would be overloaded. It returns nil
 // if the flow is to be placed as usual, also if the warm targets have room for all.
-func (v *service) chooseAroundCold(now cactuspin.Time, local cactuspin.ZoneID, exclude *target, random *rand.Rand) *target {
+func (v *service) chooseAroundCold(now cactuspin.Time, local cactuspin.ZoneID, exclude *target, random *rand.Rand) (*target, rule) {
 	own := v.existingZone(local)
 	if own == nil || own.evacuation.active(now) || !own.shortOfWarm() || random.IntN(len(own.targets)) >= own.cold {
-		return nil
+		return nil, ruleNoTarget
 	}
 	if t := own.chooseCold(now, exclude, random); t != nil {
-		return t
+		return t, ruleColdTarget
 	}
 	z := v.chooseDisplaced(now, random)
 	if z == nil {
-		return nil
+		return nil, ruleNoTarget
 	}
 	if t, _ := z.choose(now, exclude, random); t != nil && !t.failing() {
-		return t
+		return t, ruleZoneCold
 	}
-	return nil
+	return nil, ruleNoTarget
 }
 
 // shortOfWarm reports whether the warm targets of the zone may have too little room for
