Ask a real host with cactuspin where in a test

The command was tested against recorded answers only; now the test with real sockets asks a running host, too.

--- a/internal/app/entry/entry_test.go
+++ b/internal/app/entry/entry_test.go
@@ -18,6 +18,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/app/operator"
 	"github.com/cactuspin/cactuspin/internal/entry/writer"
 	"github.com/cactuspin/cactuspin/internal/standin/metastore"
 	"github.com/cactuspin/cactuspin/platform"
@@ -128,6 +129,10 @@
 	g.Expect(status.PacketsByReason).To(HaveKeyWithValue("placed", uint64(1)))
 	g.Expect(get(address + ":8166" + cactuspin.EntryExplainPath + "?caller=127.77.0.7:40001&service=198.18.0.1:443")).To(ContainSubstring("i-0000000a"))
 	g.Expect(get(address + ":8166" + cactuspin.EntryExplainPath + "?service=198.18.0.1:443")).To(And(HavePrefix("200"), ContainSubstring(`"host": "h"`), ContainSubstring("own zone")))
+	var out, errOut strings.Builder
+	g.Expect(operator.Main([]string{"where", "198.18.0.1:443", "--host", address + ":8166"}, &out, &errOut)).To(Equal(operator.ExitSuccess), errOut.String())
+	g.Expect(out.String()).To(MatchRegexp(`z +h +%s:8166 +r +7 +[0-9.]+s +100%% +own zone +s, zone z`, address))
+	g.Expect(out.String()).To(MatchRegexp(`i-0000000a +100%`))
 	// Packets have IPv4 addresses only; others must not reach the balancer.
 	for _, query := range []string{"caller=x", "service=198.18.0.1:443&caller=x", "service=[::1]:443", "service=198.18.0.1:443&caller="} {
 		g.Expect(get(address + ":8166" + cactuspin.EntryExplainPath + "?" + query)).To(HavePrefix("400"))
