Exchange the open flows at each target in large zones

Hosts of a zone do not know each other, and counts of requests in progress are out of date when they arrive. Hosts of zones of 8 hosts and more now tell the first hosts of their zone their open flows at each target, and get the sums and the set of the zone's hosts back, every two seconds, or at once if a fifth of the flows has changed (CBOR 17 to 19).

--- a/internal/knowledge/encoder/encoder.go
+++ b/internal/knowledge/encoder/encoder.go
@@ -151,6 +151,12 @@
 	// Returns lists the zones that have returned from an evacuation within the warm-up
 	// time, for hosts that have started since.
 	Returns []ZoneReturn `cbor:"31,keyasint,omitempty"`
+	// ZoneHosts are the live hosts of the sender's zone, TotalFlows their flows. Only the
+	// first hosts of a zone know them. Flows are those of the sender. All three are sent
+	// at longer intervals than beacons.
+	ZoneHosts  *HostSet   `cbor:"17,keyasint,omitempty"`
+	Flows      FlowCounts `cbor:"18,keyasint,omitempty"`
+	TotalFlows FlowCounts `cbor:"19,keyasint,omitempty"`
 }
 
 // ZoneReturn reports that a zone has returned from an evacuation.
--- a/internal/knowledge/planner/planner.go
+++ b/internal/knowledge/planner/planner.go
@@ -94,6 +94,7 @@
 	down encoder.DownTargets
 	// eligible lists the hosts that may own cold targets, by the host's last beacon.
 	eligible encoder.Addresses
+	share    peerShare
 }
 
 // Planner decides from received beacons and the time. It is safe for concurrent
@@ -115,6 +116,11 @@
 	// members are the other hosts of this zone, also those that have been silent for long.
 	members members
 	random  *rand.Rand
+	// lastShare is when this host last sent its flows, sentFlows, and sentSum the number of
+	// flows that it sent, those of the zone included.
+	lastShare cactuspin.Time
+	sentFlows encoder.FlowCounts
+	sentSum   int
 }
 
 // New returns a Planner without peers.
@@ -174,6 +180,7 @@
 	x.EntryHost, x.incarnation, x.lastBeacon, x.leaving = b.Host, b.Incarnation, now, b.Leaving
 	x.era, x.age, x.reader, x.loads, x.total, x.down, x.eligible = b.Era, b.Age, b.Reader, b.Loads, b.Total, b.Down, b.Eligible
 	p.recordMember(now, b)
+	x.share.record(now, b, p.sentFlows)
 	return isNew
 }
 
