Prefer a part of the targets at each host of a large zone

A host of a large zone saw a small part of the requests at each target, so that its own counts said little, and the choice was close to random. Each host now has a place on the ring of its zone's targets by its rank among the hosts, and prefers the nearest targets: it sees most of the requests there. Single requests go to the nearest target with few requests in progress, long flows to the nearest one that has less than its share of the flows of all hosts by slots and speed.

The status has zone_hosts, zone_rank and load_imbalance, the metrics cactuspin_zone_hosts and cactuspin_load_imbalance.

--- a/entrystatus.go
+++ b/entrystatus.go
@@ -23,6 +23,12 @@
 	FlowsHeldAway uint64 `json:"flows_held_away,omitempty"`
 	Flows         int    `json:"flows"`
 	Peers         int    `json:"peers"`
+	// ZoneHosts is the number of hosts of the zone among which the host has the place
+	// ZoneRank, or 0 if it spreads flows by its own counts alone. LoadImbalance is the
+	// highest load of a target by the flows of all of them, as a multiple of the mean.
+	ZoneHosts     int     `json:"zone_hosts"`
+	ZoneRank      int     `json:"zone_rank"`
+	LoadImbalance float64 `json:"load_imbalance"`
 	// ReadsStore reports that the host reads the store now, Reader which host's read
 	// the age of its knowledge is based on.
 	ReadsStore      bool              `json:"reads_store"`
--- a/internal/app/entry/admin.go
+++ b/internal/app/entry/admin.go
@@ -57,6 +57,7 @@
 		Host: h.settings.Load().Name, Zone: string(h.settings.Load().Zone), Build: Build,
 		Version: uint64(s.RoutingVersion), StoreEra: uint64(s.Era), Revision: uint64(s.Revision), KnowledgeAge: s.Age.Seconds(),
 		Targets: s.Targets, Flows: s.Flows, Peers: s.Peers, ReadsStore: s.Reading, Leaving: s.Leaving,
+		ZoneHosts: s.Balance.Hosts, ZoneRank: s.Balance.Rank, LoadImbalance: s.Balance.Imbalance,
 		Ready: h.engine.Ready(h.common.Clock()), PacketsByReason: map[string]uint64{},
 		ColdTargets: s.ColdTargets, FlowsHeldAway: s.HeldAway,
 		LinesSuppressed: h.reporter.Suppressed(), LinesDropped: h.writer.Dropped(),
--- a/internal/entry/engine/engine.go
+++ b/internal/entry/engine/engine.go
@@ -217,6 +217,7 @@
 	Reading, Leaving bool
 	Peers            int
 	Flows            int
+	Balance          balancer.Balance
 	Verdicts         map[cactuspin.VerdictReason]uint64
 	Down             []cactuspin.TargetID
 	// ColdTargets is the number of cold targets in this host's zone that have a limit,
@@ -232,7 +233,7 @@
 	e.mu.Unlock()
 	return Status{
 		Position: e.tracker.Position(now), Reading: reading, Leaving: leaving, Peers: e.planner.AlivePeers(now),
-		Flows: e.balancer.Flows(), Verdicts: e.balancer.Verdicts(), Down: e.balancer.DownTargets(),
+		Flows: e.balancer.Flows(), Balance: e.balancer.Balance(now), Verdicts: e.balancer.Verdicts(), Down: e.balancer.DownTargets(),
 		ColdTargets: e.balancer.ColdTargets(), HeldAway: e.balancer.HeldAway(),
 	}
 }
--- a/internal/entry/engine/peers.go
+++ b/internal/entry/engine/peers.go
@@ -25,6 +25,9 @@
 	b.ReplyRequested, b.Down = !b.Complete, down.Freshest()
 	zoneBeacon, remoteBeacon := b, b
 	zoneBeacon.Loads, zoneBeacon.Total = own.LargestBeside(&b), total.LargestBeside(&b)
+	share := e.planner.Share(now, e.balancer.FlowCounts(), zoneBeacon.HasRoomForFlows())
+	e.balancer.SetShare(now, share.Rank, share.Others)
+	zoneBeacon.ZoneHosts, zoneBeacon.Flows, zoneBeacon.TotalFlows = share.SentHosts, share.SentFlows, share.SentTotal
 	remoteBeacon.Loads, remoteBeacon.Eligible = zone.Largest(), nil
 	out.send(plan.ZoneRecipients, encoder.Datagram{Beacon: &zoneBeacon})
 	out.send(plan.RemoteRecipients, encoder.Datagram{Beacon: &remoteBeacon})
--- a/internal/entry/meter/meter.go
+++ b/internal/entry/meter/meter.go
@@ -88,9 +88,9 @@
 // instruments are the instruments that are observed when the metrics are
 // collected.
 type instruments struct {
-	age                                                                  metric.Float64ObservableGauge
-	version, era, revision, targets, down, evacuated, cold, flows, peers metric.Int64ObservableGauge
-	verdicts, malformed, unsent, io, lost, heldAway                      metric.Int64ObservableCounter
+	age, imbalance                                                                  metric.Float64ObservableGauge
+	version, era, revision, targets, down, evacuated, cold, flows, peers, zoneHosts metric.Int64ObservableGauge
+	verdicts, malformed, unsent, io, lost, heldAway                                 metric.Int64ObservableCounter
 }
 
 func (m *Meter) observe(meter metric.Meter) (err error) {
@@ -116,19 +116,22 @@
 	i.heldAway = counter("cactuspin.flows.held_away", "{flow}", "New flows sent to other zones or refused because targets of the zone are cold.")
 	i.flows = gauge("cactuspin.flows", "Flows remembered.")
 	i.peers = gauge("cactuspin.peers", "Other hosts heard.")
+	i.zoneHosts = gauge("cactuspin.zone.hosts", "Hosts of the zone that share the targets, or 0.")
 	i.verdicts = counter("cactuspin.packets", "{packet}", "Packets by the reason of their verdict.")
 	i.malformed = counter("cactuspin.datagrams.malformed", "{datagram}", "Datagrams that could not be read.")
 	i.unsent = counter("cactuspin.packets.unsent", "{packet}", "Packets that could not be sent.")
 	i.io = counter("cactuspin.peer.io", "By", "Bytes of datagrams between hosts.")
 	i.lost = counter("cactuspin.log.lines.lost", "{line}", "Log lines left out or dropped.")
 	i.age, err = meter.Float64ObservableGauge("cactuspin.knowledge.age", metric.WithUnit("s"), metric.WithDescription("Age of the knowledge in use."))
+	errs = append(errs, err)
+	i.imbalance, err = meter.Float64ObservableGauge("cactuspin.load.imbalance", metric.WithDescription("Highest load of a target by its flows over the mean."))
 	if err = errors.Join(append(errs, err)...); err != nil {
 		return errors.WithStack(err)
 	}
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		m.collect(o, &i)
 		return nil
-	}, i.age, i.version, i.era, i.revision, i.targets, i.down, i.evacuated, i.flows, i.peers, i.verdicts, i.malformed, i.unsent, i.io, i.lost, i.cold, i.heldAway)
+	}, i.age, i.version, i.era, i.revision, i.targets, i.down, i.evacuated, i.flows, i.peers, i.zoneHosts, i.imbalance, i.verdicts, i.malformed, i.unsent, i.io, i.lost, i.cold, i.heldAway)
 	return errors.WithStack(err)
 }
 
@@ -145,6 +148,8 @@
 	o.ObserveInt64(i.heldAway, int64(s.HeldAway))
 	o.ObserveInt64(i.flows, int64(s.Flows))
 	o.ObserveInt64(i.peers, int64(s.Peers))
+	o.ObserveInt64(i.zoneHosts, int64(s.Balance.Hosts))
+	o.ObserveFloat64(i.imbalance, s.Balance.Imbalance)
 	for reason, n := range s.Verdicts {
 		o.ObserveInt64(i.verdicts, int64(n), metric.WithAttributes(attribute.String("reason", reason.String())))
 	}
--- a/internal/steering/balancer/balancer.go
+++ b/internal/steering/balancer/balancer.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/knowledge/encoder"
 	"github.com/cactuspin/cactuspin/internal/knowledge/tracker"
 )
 
@@ -64,6 +65,8 @@
 	removed []*target
 	// evacuations holds the states of the zones.
 	evacuations evacuations
+	// rank is the place of this host in its zone.
+	rank encoder.HostRank
 	// warmups limits the new flows to cold targets.
 	warmups *warmups
 	active  activeSet
@@ -95,6 +98,8 @@
 	answers *answerSizes
 	// responseTimes are those that this host has seen.
 	responseTimes *responseTimes
+	// lengths counts the flows that this host has seen by their number of requests.
+	lengths *flowLengths
 }
 
 // New returns a balancer without knowledge, which drops every packet.
@@ -294,7 +299,7 @@
 	if v == nil {
 		return nil, ruleNoTarget
 	}
-	return b.chooseAdmitted(now, v, exclude, random)
+	return b.chooseAdmitted(now, v, exclude, route.opensLongFlows(), random)
 }
 
 // chooseService chooses the service of a new flow by the weights of the route.
--- a/internal/steering/balancer/balancer_benchmark_test.go
+++ b/internal/steering/balancer/balancer_benchmark_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cactuspin/cactuspin"
+	"github.com/cactuspin/cactuspin/internal/knowledge/encoder"
 	"github.com/cactuspin/cactuspin/internal/knowledge/tracker"
 	"github.com/cactuspin/cactuspin/internal/steering/balancer"
 )
@@ -157,3 +158,32 @@
 		}
 	})
 }
+
+// BenchmarkPlacement measures the first packets of flows at 40 targets, with and without
+// a place of the host in its zone.
+func BenchmarkPlacement(b *testing.B) {
+	for _, hosts := range []int{0, 28} {
+		for _, address := range []netip.AddrPort{feeds, orders} {
+			b.Run(fmt.Sprintf("hosts=%d/port=%d", hosts, address.Port()), func(b *testing.B) {
+				lb := balancer.New(balancer.Config{Zone: "a", Seed: 1, StaleAfter: time.Second, MaxFlows: 1 << 12})
+				c := tracker.Change{Routing: routing()}
+				for i := range 40 {
+					c.Targets = append(c.Targets, registered(i+1, "desk", "a"))
+				}
+				lb.Apply(now, &c)
+				lb.SetFreshness(now, tracker.Position{HealthyFor: time.Minute})
+				lb.Steer(now, syn(1, address, 0))
+				i := 0
+				for b.Loop() {
+					i++
+					p := syn(i, address, 0)
+					p.Caller = netip.AddrPortFrom(netip.AddrFrom4([4]byte{100, 64, byte(i >> 12), byte(i >> 4)}), uint16(i))
+					lb.Steer(now, p)
+					if i%1000 == 0 {
+						lb.SetShare(now, encoder.HostRank{Rank: min(hosts, 5), Hosts: hosts}, nil)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/steering/balancer/explain.go
+++ b/internal/steering/balancer/explain.go
@@ -214,7 +214,7 @@
 
 func (b *Balancer) tryChoice(now cactuspin.Time, route *route, random *rand.Rand) (t *target, decided rule) {
 	if v := b.chooseService(random, route); v != nil {
-		t, decided = v.chooseWithCold(now, b.config.Zone, nil, random)
+		t, decided = v.chooseWithCold(now, b.config.Zone, nil, route.opensLongFlows(), random)
 	}
 	if t == nil && b.reasonWithoutTarget(route) == cactuspin.ReasonTargetsCold {
 		decided = ruleTargetsCold
--- a/internal/steering/balancer/flow.go
+++ b/internal/steering/balancer/flow.go
@@ -42,6 +42,8 @@
 	// has retransmitted the request in progress.
 	lastDataAt      cactuspin.Time
 	retransmissions uint8
+	// requests counts the requests of the flow up to longFlowRequests.
+	requests uint8
 	// nextSequence is the sequence number after the last data, acknowledged the
 	// highest acknowledgement number of the caller.
 	nextSequence, acknowledged uint32
@@ -207,6 +209,7 @@
 	f.observeData(now, p, v)
 	if p.Flags&(cactuspin.FlagRST|cactuspin.FlagFIN) != 0 {
 		f.recordAnswer(now, p.Acknowledgement)
+		f.recordEnd()
 		f.unassign()
 	}
 	return answered
@@ -241,6 +244,7 @@
 	f.nextSequence, f.lastDataAt = end, now
 	if f.requestedAt == 0 {
 		v.Request = true
+		f.countRequest()
 		f.recordAnswer(now, p.Acknowledgement)
 		f.answerPending, f.answerStart, f.firstPartAfter = true, p.Acknowledgement, 0
 		f.requestedAt, f.retransmissions = now, 0
--- a/internal/steering/balancer/knowledge.go
+++ b/internal/steering/balancer/knowledge.go
@@ -45,9 +45,9 @@
 	old := b.routes.Load()
 	for i := range r.Routes {
 		e := endpointOf(r.Routes[i].Address)
-		x := &route{Route: &r.Routes[i], answers: &answerSizes{}, responseTimes: &responseTimes{}}
+		x := &route{Route: &r.Routes[i], answers: &answerSizes{}, responseTimes: &responseTimes{}, lengths: &flowLengths{}}
 		if old != nil && old.routes[e] != nil {
-			x.answers, x.responseTimes = old.routes[e].answers, old.routes[e].responseTimes
+			x.answers, x.responseTimes, x.lengths = old.routes[e].answers, old.routes[e].responseTimes, old.routes[e].lengths
 		}
 		t.routes[e] = x
 	}
@@ -111,6 +111,7 @@
 		old.zone.remove(old)
 	}
 	t.zone.targets = append(t.zone.targets, t)
+	t.zone.partition = partition{}
 	b.byAddress.add(t)
 	b.targets[r.ID] = t
 	b.warmups.update(now, t)
--- a/internal/steering/balancer/service.go
+++ b/internal/steering/balancer/service.go
@@ -52,6 +52,8 @@
 	utilization float64
 	// slots is the number of slots at the last update of utilization, or -1 before.
 	slots int
+	// partition is the part of the targets that this host prefers.
+	partition partition
 }
 
 func (v *service) zone(name cactuspin.ZoneID) *zone {
@@ -69,18 +71,20 @@
 // remove removes a target from the zone.
 func (z *zone) remove(t *target) {
 	if i := slices.Index(z.targets, t); i >= 0 {
+		z.partition = partition{}
 		z.targets = slices.Delete(z.targets, i, i+1)
 	}
 }
 
 // choose returns the target for a new flow of callers in the zone local, and the rule that
-// decided. Targets that fail much more often than others are used only if there is no
-// other, suspect targets last, and dead ones never.
-func (v *service) choose(now cactuspin.Time, local cactuspin.ZoneID, exclude *target, random *rand.Rand) (*target, rule) {
+// decided. long reports that flows of its route have many requests. Targets that fail much
+// more often than others are used only if there is no other, suspect targets last, and dead
+// ones never.
+func (v *service) choose(now cactuspin.Time, local cactuspin.ZoneID, exclude *target, long bool, random *rand.Rand) (*target, rule) {
 	var failing, suspect *target
 	z, decided := v.firstZone(now, local, random)
 	if z != nil {
-		t, s := z.choose(now, exclude, random)
+		t, s := z.choose(now, exclude, long, random)
 		if t != nil && !t.failing() {
 			return t, decided
 		}
@@ -89,7 +93,7 @@
 	var best *target
 	lowest := math.Inf(1)
 	for _, z := range v.zones {
-		t, s := z.choose(now, exclude, random)
+		t, s := z.choose(now, exclude, long, random)
 		if t != nil && !t.failing() && z.utilization < lowest {
 			best, lowest = t, z.utilization
 		}
@@ -154,15 +158,15 @@
 }
 
 // choose returns the least loaded target, and one that is suspect.
-func (z *zone) choose(now cactuspin.Time, exclude *target, random *rand.Rand) (best, suspect *target) {
+func (z *zone) choose(now cactuspin.Time, exclude *target, long bool, random *rand.Rand) (best, suspect *target) {
 	n := len(z.targets)
 	if n == 0 || z.evacuation.active(now) {
 		return nil, nil
 	}
-	first, compared, held := random.IntN(n), 0, 0
-	lowest := math.Inf(1)
-	for i := 0; i < n && compared < maxCandidates && held < maxHeld; i++ {
-		t := z.targets[(first+i)%n]
+	p := z.placement(long, random)
+	compared, held, lowest := 0, 0, math.Inf(1)
+	for i := 0; i < n && compared < maxCandidates && held < maxHeld && p.minLoad(i) < lowest; i++ {
+		t := z.targets[p.index(i)]
 		if !t.usable(now) || t == exclude {
 			continue
 		}
@@ -178,7 +182,7 @@
 			}
 			continue
 		}
-		if l := t.load(now); l < lowest {
+		if l := p.load(now, t, i); l < lowest {
 			best, lowest = t, l
 		}
 	}
--- a/internal/steering/balancer/slowness.go
+++ b/internal/steering/balancer/slowness.go
@@ -58,10 +58,12 @@
 	// excess is the difference to 1 at the time updated.
 	excess  float64
 	updated cactuspin.Time
+	speed   speed
 }
 
 // record records the ratio of a response time to the mean of its route.
 func (s *slowness) record(now cactuspin.Time, ratio float64) {
+	s.speed.record(now, ratio)
 	ratio = max(minSlowness, min(maxSlowness, ratio))
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -81,6 +83,7 @@
 }
 
 func (s *slowness) reset() {
+	s.speed.reset()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.excess = 0
--- a/internal/steering/balancer/target.go
+++ b/internal/steering/balancer/target.go
@@ -38,6 +38,8 @@
 	// flows and busy count the flows and the requests in progress that this host
 	// sees.
 	flows, busy atomic.Int32
+	// otherFlows is the number of flows of other hosts, as they reported it lately.
+	otherFlows int
 	// meanBusy is the running mean of busy over about ten ticks.
 	meanBusy float64
 	health   health
--- a/internal/steering/balancer/warmup.go
+++ b/internal/steering/balancer/warmup.go
@@ -198,12 +198,12 @@
 }
 
 // chooseAdmitted chooses the target for a new flow and counts the flow against its limit.
-func (b *Balancer) chooseAdmitted(now cactuspin.Time, v *service, exclude *target, random *rand.Rand) (t *target, decided rule) {
+func (b *Balancer) chooseAdmitted(now cactuspin.Time, v *service, exclude *target, long bool, random *rand.Rand) (t *target, decided rule) {
 	if v.limit == nil {
-		return v.choose(now, b.config.Zone, exclude, random)
+		return v.choose(now, b.config.Zone, exclude, long, random)
 	}
 	for range maxAttempts {
-		t, decided = v.chooseWithCold(now, b.config.Zone, exclude, random)
+		t, decided = v.chooseWithCold(now, b.config.Zone, exclude, long, random)
 		if t == nil || t.admit(now) {
 			break
 		}
@@ -217,20 +217,20 @@
 
 // chooseWithCold chooses the target for a new flow of a service with or without a limit. It
 // counts nothing, so that explanations use it, too.
-func (v *service) chooseWithCold(now cactuspin.Time, local cactuspin.ZoneID, exclude *target, random *rand.Rand) (*target, rule) {
+func (v *service) chooseWithCold(now cactuspin.Time, local cactuspin.ZoneID, exclude *target, long bool, random *rand.Rand) (*target, rule) {
 	if v.limit != nil {
-		if t, decided := v.chooseAroundCold(now, local, exclude, random); t != nil {
+		if t, decided := v.chooseAroundCold(now, local, exclude, long, random); t != nil {
 			return t, decided
 		}
 	}
-	return v.choose(now, local, exclude, random)
+	return v.choose(now, local, exclude, long, random)
 }
 
 // chooseAroundCold places the share of the flows that the cold targets of the local zone
 // would get: at a cold target if possible, otherwise in other zones by their free slots. If
 // all went to the few warm targets of the zone, they would be overloaded. It returns nil
 // if the flow is to be placed as usual, also if the warm targets have room for all.
-func (v *service) chooseAroundCold(now cactuspin.Time, local cactuspin.ZoneID, exclude *target, random *rand.Rand) (*target, rule) {
+func (v *service) chooseAroundCold(now cactuspin.Time, local cactuspin.ZoneID, exclude *target, long bool, random *rand.Rand) (*target, rule) {
 	own := v.existingZone(local)
 	if own == nil || own.evacuation.active(now) || !own.shortOfWarm() || random.IntN(len(own.targets)) >= own.cold {
 		return nil, ruleNoTarget
@@ -242,7 +242,7 @@
 	if z == nil {
 		return nil, ruleNoTarget
 	}
-	if t, _ := z.choose(now, exclude, random); t != nil && !t.failing() {
+	if t, _ := z.choose(now, exclude, long, random); t != nil && !t.failing() {
 		return t, ruleZoneCold
 	}
 	return nil, ruleNoTarget
