--- a/internal/steering/balancer/explain.go
+++ b/internal/steering/balancer/explain.go
@@ -105,6 +105,8 @@
 type trials struct {
 	decisions map[DecisionExplanation]int
 	targets   map[*target]int
+	// long reports that new flows of the route probably have many requests.
+	long bool
 }
 
 // Explain reports how packets of a flow are forwarded, or how a new flow is if the caller
@@ -128,7 +130,7 @@
 		return x
 	}
 	x.Route = route.Name
-	r := trials{decisions: map[DecisionExplanation]int{}, targets: map[*target]int{}}
+	r := trials{decisions: map[DecisionExplanation]int{}, targets: map[*target]int{}, long: route.opensLongFlows()}
 	if t != nil {
 		b.explainKnown(now, &x, route, t, established)
 	} else {
@@ -198,7 +200,7 @@
 // numbers of its own.
 // The seed is fixed, so that explanations differ only if what they explain does.
 func (b *Balancer) tryChoices(now cactuspin.Time, route *route) trials {
-	r := trials{decisions: map[DecisionExplanation]int{}, targets: map[*target]int{}}
+	r := trials{decisions: map[DecisionExplanation]int{}, targets: map[*target]int{}, long: route.opensLongFlows()}
 	random := rand.New(rand.NewPCG(1, 2))
 	for range trialChoices {
 		t, decided := b.tryChoice(now, route, random)
@@ -237,6 +239,7 @@
 // explain describes the zone and its targets.
 func (z *zone) explain(now cactuspin.Time, r *trials) ZoneExplanation {
 	e := ZoneExplanation{Zone: z.name, Utilization: z.utilization, Evacuated: z.evacuation.active(now)}
+	loads := z.loads(now, r.long)
 	for _, t := range z.targets {
 		if cold, owned := t.explainCold(now); cold && t.usable(now) {
 			e.Cold++
@@ -250,7 +253,7 @@
 		default:
 			e.Usable++
 		}
-		e.Targets = append(e.Targets, t.explain(now, r.targets[t]))
+		e.Targets = append(e.Targets, t.explain(now, r.targets[t], loads[t]))
 	}
 	slices.SortFunc(e.Targets, compareExplained)
 	if n := len(e.Targets) - maxExplainedTargets; n > 0 {
--- a/internal/steering/balancer/explain_target.go
+++ b/internal/steering/balancer/explain_target.go
@@ -31,7 +31,9 @@
 	// Requests and Flows are those of this host.
 	Requests int `json:"busy"`
 	Flows    int `json:"flows"`
-	Slots    int `json:"slots"`
+	// OtherFlows are those of the other hosts, as they have lately reported them.
+	OtherFlows int `json:"other_flows,omitempty"`
+	Slots      int `json:"slots"`
 	// Slowness is the factor for its response times, and SlownessAge the age of the newest
 	// one.
 	Slowness    float64  `json:"slowness"`
@@ -57,12 +59,13 @@
 	return cmp.Or(cmp.Compare(b.Share, a.Share), cmp.Compare(rank(&a), rank(&b)), cmp.Compare(a.Load, b.Load), cmp.Compare(a.Target, b.Target))
 }
 
-// explain describes the target, which was chosen in a number of trial choices.
-func (t *target) explain(now cactuspin.Time, chosen int) TargetExplanation {
+// explain describes the target, which was chosen in a number of trial choices and has a
+// load by which it is compared with others.
+func (t *target) explain(now cactuspin.Time, chosen int, load float64) TargetExplanation {
 	x := TargetExplanation{
-		Target: t.registered.ID, Share: float64(chosen) / trialChoices, Load: finite(t.load(now)),
+		Target: t.registered.ID, Share: float64(chosen) / trialChoices, Load: finite(load),
 		Unusable: t.unusableBecause(now), Avoided: t.suspect(now),
-		Requests: int(t.busy.Load()), Flows: int(t.flows.Load()), Slots: t.registered.Slots,
+		Requests: int(t.busy.Load()), Flows: int(t.flows.Load()), OtherFlows: t.otherFlows, Slots: t.registered.Slots,
 		Slowness: t.slowness.factor(now), SlownessAge: t.slowness.age(now),
 		Failures: t.totalFailures, FailureLoad: t.failureLoad, Failing: t.failing(),
 		WarmupLeft: t.warmupLeft(now).Seconds(), Cold: t.coldBecause(now),
--- a/internal/steering/balancer/partition.go
+++ b/internal/steering/balancer/partition.go
@@ -296,3 +296,20 @@
 	idle := max(0, float64(t.flows.Load())-busy)
 	return (newRequestLoad + busy + p.flowLoad*(ownIdleLoad*idle+float64(t.otherFlows)*factor)) * factor
 }
+
+// loads returns the loads by which the targets are compared for a new flow.
+func (z *zone) loads(now cactuspin.Time, long bool) map[*target]float64 {
+	loads := make(map[*target]float64, len(z.targets))
+	if !z.partition.active() {
+		for _, t := range z.targets {
+			loads[t] = t.load(now)
+		}
+		return loads
+	}
+	p := z.placement(long, nil)
+	for i := range z.targets {
+		t := z.targets[p.index(i)]
+		loads[t] = p.load(now, t, i)
+	}
+	return loads
+}
--- a/internal/steering/balancer/partition_test.go
+++ b/internal/steering/balancer/partition_test.go
@@ -1,6 +1,7 @@
 package balancer_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -134,3 +135,21 @@
 	after := b.FlowCounts()[0].Flows
 	g.Expect(after[8] + after[9]).To(Equal(before[8] + before[9] + 1))
 }
+
+// An explanation with other loads than those that choices compare would mislead operators.
+func TestExplanationsShowTheLoadsOfAPart(t *testing.T) {
+	g := NewWithT(t)
+	b := newBalancer(1, "a")
+	var c tracker.Change
+	for i := range 40 {
+		c.Targets = append(c.Targets, registered(3+i, "desk", "a"))
+	}
+	b.Apply(now, &c)
+	b.Steer(now, syn(1, feeds, 0))
+	b.SetShare(now, encoder.HostRank{Rank: 5, Hosts: 28}, nil)
+	targets := b.Explain(now, netip.AddrPort{}, feeds).Services[0].Zones[0].Targets
+	g.Expect(targets[0].Share).To(BeNumerically(">", 0))
+	for _, x := range targets[1:] {
+		g.Expect(x.Load).To(BeNumerically(">=", targets[0].Load), "the target with the largest share has the lowest load")
+	}
+}
