Probe only targets whose removal is what was known last

A target that was missing from a backup and registered again was probed after the next restore if its registration differed there. The new lines of TestARemovedTargetThatTheBackupBringsBackIsReported fail without the change.

--- a/internal/knowledge/tracker/era.go
+++ b/internal/knowledge/tracker/era.go
@@ -90,7 +90,7 @@
 		return
 	}
 	c.Targets = append(c.Targets, merged)
-	if _, removed := old.removed[t.ID]; removed || tr.ended[t.ID] {
+	if _, removed := old.removed[t.ID]; !ok && (removed || tr.ended[t.ID]) {
 		c.Reappeared = append(c.Reappeared, t.ID)
 	}
 	delete(old.removed, t.ID)
--- a/internal/knowledge/tracker/era_test.go
+++ b/internal/knowledge/tracker/era_test.go
@@ -159,6 +159,13 @@
 	g.Expect(c.Reappeared).To(Equal([]cactuspin.TargetID{"a"}), "its removal was known two eras ago")
 	c, _ = tr.Merge(now, restored(3, target("a", 3, cactuspin.TargetReady)))
 	g.Expect(c.Reappeared).To(BeEmpty(), "it is known already")
+	// c was missing from the third backup and has registered again since.
+	again := target("c", 6, cactuspin.TargetReady)
+	tr.Merge(now, &cactuspin.Update{Era: 3, After: 5, Revision: 6, Targets: []cactuspin.RegisteredTarget{again}})
+	again.Revision, again.Slots = 4, 2
+	c, _ = tr.Merge(now, restored(4, again))
+	g.Expect(ids(c.Targets)).To(Equal([]cactuspin.TargetID{"c"}))
+	g.Expect(c.Reappeared).To(BeEmpty(), "it is known to be alive")
 }
 
 // Guards against new flows to a target that drains, and to the former life of a target that
