--- a/internal/standin/simulator/evacuation.go
+++ b/internal/standin/simulator/evacuation.go
@@ -93,25 +93,25 @@
 	}
 }
 
-// previousBuild reports whether the host runs the build before evacuations, which neither
-// reads nor sends the states of zones.
+// previousBuild reports whether the host runs the build before evacuations and eras, which
+// neither reads nor sends the states of zones and the era.
 func (h *host) previousBuild() bool { return h.index < h.sim.scenario.PreviousBuildHosts }
 
-// withoutZones returns what a host of the build before sends instead of a datagram.
-func withoutZones(d encoder.Datagram) encoder.Datagram {
+// datagramOfPreviousBuild returns what a host of the build before sends instead of a datagram.
+func datagramOfPreviousBuild(d encoder.Datagram) encoder.Datagram {
 	if d.Beacon != nil {
 		b := *d.Beacon
-		b.KnowsZones = false
+		b.KnowsZones, b.Era, b.Version = false, 0, 0
 		d.Beacon = &b
 	}
 	if d.Update != nil {
-		u := updateWithoutZones(*d.Update)
+		u := updateOfPreviousBuild(*d.Update)
 		d.Update = &u
 	}
 	return d
 }
 
-func updateWithoutZones(u cactuspin.Update) cactuspin.Update {
-	u.Zones, u.KnowsZones = nil, false
+func updateOfPreviousBuild(u cactuspin.Update) cactuspin.Update {
+	u.Zones, u.KnowsZones, u.Era = nil, false, 0
 	return u
 }
--- a/internal/standin/simulator/host.go
+++ b/internal/standin/simulator/host.go
@@ -133,7 +133,7 @@
 	}
 	for _, s := range out.Sends {
 		if h.previousBuild() {
-			s.Datagram = withoutZones(s.Datagram)
+			s.Datagram = datagramOfPreviousBuild(s.Datagram)
 		}
 		if b, err := encoder.Encode(&s.Datagram); err == nil {
 			h.sim.oracle.peerBytes += len(b) * len(s.To)
@@ -141,6 +141,9 @@
 		for _, a := range s.To {
 			if p := h.sim.hostAt(a); p != nil {
 				d := s.Datagram
+				if p.previousBuild() {
+					d = datagramOfPreviousBuild(d)
+				}
 				h.sim.transmit(&h.location, &p.location, func() {
 					p.execute(func(out *engine.Actions) { p.engine.Datagram(p.sim.now, h.address, &d, out) })
 				})
@@ -175,6 +178,9 @@
 	answer := func(u cactuspin.Update, err error) {
 		if h.generation == generation && !ended {
 			ended = true
+			if h.previousBuild() {
+				u = updateOfPreviousBuild(u)
+			}
 			h.execute(func(out *engine.Actions) { h.engine.Fetched(h.sim.now, f, &u, err, out) })
 		}
 	}
@@ -192,9 +198,13 @@
 		return
 	}
 	e := h.engine
-	u, err := e.UpdateSince(h.sim.now, f.Era, f.After)
+	era := f.Era
+	if h.previousBuild() || to.previousBuild() {
+		era = e.Status(h.sim.now).Era
+	}
+	u, err := e.UpdateSince(h.sim.now, era, f.After)
 	if h.previousBuild() {
-		u = updateWithoutZones(u)
+		u = updateOfPreviousBuild(u)
 	}
 	if err != nil {
 		answer(u, err)
--- a/internal/standin/simulator/store.go
+++ b/internal/standin/simulator/store.go
@@ -258,7 +258,7 @@
 		u = &cactuspin.Update{}
 	}
 	if w.host.previousBuild() {
-		stripped := updateWithoutZones(*u)
+		stripped := updateOfPreviousBuild(*u)
 		u = &stripped
 	}
 	w.host.execute(func(out *engine.Actions) { w.host.engine.StoreAnswered(w.host.sim.now, w.call, u, err, out) })
