--- a/internal/standin/simulator/host.go
+++ b/internal/standin/simulator/host.go
@@ -131,24 +131,8 @@
 	for _, n := range out.Notes {
 		h.sim.trace("host %d: %s %v", h.index, n.Message, n.Attributes)
 	}
-	for _, s := range out.Sends {
-		if h.previousBuild() {
-			s.Datagram = datagramOfPreviousBuild(s.Datagram)
-		}
-		if b, err := encoder.Encode(&s.Datagram); err == nil {
-			h.sim.oracle.peerBytes += len(b) * len(s.To)
-		}
-		for _, a := range s.To {
-			if p := h.sim.hostAt(a); p != nil {
-				d := s.Datagram
-				if p.previousBuild() {
-					d = datagramOfPreviousBuild(d)
-				}
-				h.sim.transmit(&h.location, &p.location, func() {
-					p.execute(func(out *engine.Actions) { p.engine.Datagram(p.sim.now, h.address, &d, out) })
-				})
-			}
-		}
+	for i := range out.Sends {
+		h.send(&out.Sends[i])
 	}
 	if out.Store != nil {
 		h.sim.store.handleCall(h, out.Store)
@@ -173,6 +157,29 @@
 	}
 }
 
+// send sends a datagram to other hosts.
+func (h *host) send(s *engine.Send) {
+	if h.previousBuild() {
+		s.Datagram = datagramOfPreviousBuild(s.Datagram)
+	}
+	if b, err := encoder.Encode(&s.Datagram); err == nil {
+		h.sim.oracle.peerBytes += len(b) * len(s.To)
+	}
+	for _, a := range s.To {
+		p := h.sim.hostAt(a)
+		if p == nil {
+			continue
+		}
+		d := s.Datagram
+		if p.previousBuild() {
+			d = datagramOfPreviousBuild(d)
+		}
+		h.sim.transmit(&h.location, &p.location, func() {
+			p.execute(func(out *engine.Actions) { p.engine.Datagram(p.sim.now, h.address, &d, out) })
+		})
+	}
+}
+
 func (h *host) fetch(f *engine.Fetch) {
 	generation, p, ended := h.generation, h.sim.hostAt(f.Host), false
 	answer := func(u cactuspin.Update, err error) {
