--- a/internal/app/operator/where_command.go
+++ b/internal/app/operator/where_command.go
@@ -237,6 +237,9 @@
 	if t.Unusable != "" {
 		parts = append(parts, "unusable: "+t.Unusable)
 	}
+	if t.OtherFlows > 0 {
+		parts = append(parts, fmt.Sprintf("%d flows of other hosts", t.OtherFlows))
+	}
 	if t.Cold != "" {
 		parts = append(parts, "cold: "+t.Cold)
 	}
