Reset no flow whose repeated request was answered

A flow that had once repeated data counted as waiting until its next request, so that a single silent probe of its target would have reset it though it worked. The new test failed before.

--- a/internal/steering/balancer/resets.go
+++ b/internal/steering/balancer/resets.go
@@ -42,10 +42,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for k, f := range h.flows {
-		if f.target != t || !f.established || f.route.Kind == cactuspin.WorkNonIdempotent || (!dead && f.retransmissions == 0) {
-			continue
-		}
-		if !b.hasCapacityLocked(now, f.route) {
+		if f.target != t || !f.established || f.route.Kind == cactuspin.WorkNonIdempotent || !(dead || f.waits()) || !b.hasCapacityLocked(now, f.route) {
 			continue
 		}
 		resets = append(resets, Reset{Caller: k.caller.addrPort(), Service: k.service.addrPort(), Target: t.registered.ID, Acknowledgement: f.acknowledged})
@@ -55,6 +52,9 @@
 	return resets
 }
 
+// waits reports whether the caller has repeated the request in progress.
+func (f *flow) waits() bool { return f.requestedAt != 0 && f.retransmissions > 0 }
+
 // hasCapacityLocked is hasCapacity for callers that hold the lock of a flow shard.
 func (b *Balancer) hasCapacityLocked(now cactuspin.Time, r *route) bool {
 	b.mu.RLock()
--- a/internal/steering/balancer/resets_test.go
+++ b/internal/steering/balancer/resets_test.go
@@ -54,6 +54,28 @@
 	g.Expect(resets[0].Caller).To(Equal(caller(3)))
 }
 
+// A flow that once repeated data, and has got its answer since, works.
+func TestASilentProbeResetsNoFlowThatWasAnswered(t *testing.T) {
+	g := NewWithT(t)
+	b := newBalancer(1, "a")
+	v, _ := suspectTarget(b, 1)
+	b.Steer(now, data(3, feeds, v.Cookie, 0))
+	b.Steer(now.Add(200*time.Millisecond), data(3, feeds, v.Cookie, 0))
+	acknowledgement := data(3, feeds, v.Cookie, 1)
+	acknowledgement.Length = 0
+	b.Steer(now.Add(250*time.Millisecond), acknowledgement)
+	at := now.Add(800 * time.Millisecond)
+	answerElsewhere(b, at, v.Target)
+	for port := 100; ; port++ {
+		if x := b.Steer(now.Add(500*time.Millisecond), syn(port, feeds, 0)); x.Target == v.Target {
+			b.Steer(now.Add(700*time.Millisecond), syn(port, feeds, 1))
+			break
+		}
+	}
+	g.Expect(b.RecordProbe(at, now.Add(700*time.Millisecond), v.Target, balancer.FindingSilent)).To(BeTrue())
+	g.Expect(b.FlowsToReset(at, v.Target)).To(BeEmpty())
+}
+
 // Flows that can go nowhere else keep the chance that their target answers late.
 func TestFlowsAreNotResetWithoutAnotherTarget(t *testing.T) {
 	g := NewWithT(t)
