Split the files of tracker and planner

Merging, updates for peers, the choice of the reader and of recipients have files of their own now; the sorted lines differ in imports only.

--- a/internal/knowledge/planner/planner.go
+++ b/internal/knowledge/planner/planner.go
@@ -8,10 +8,8 @@
 package planner
 
 import (
-	"maps"
 	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -241,73 +239,12 @@
 	return plan
 }
 
-// ShouldRead reports whether this host has to read the store now.
-func (p *Planner) ShouldRead(now cactuspin.Time, known tracker.Position, firstPageRead bool) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.shouldRead(now, known, p.rank(p.zoneAlive(now)), firstPageRead)
-}
-
 // rank returns the number of live hosts of this zone that have a lower address
 // than this one.
 func (p *Planner) rank(alive []netip.Addr) int {
 	return sort.Search(len(alive), func(i int) bool { return !alive[i].Less(p.c.Self.Address) })
 }
 
-// shouldRead reports whether this host has to read the store. A leader reads if
-// no leader of another zone takes precedence. Any other host reads if its
-// knowledge is too old; if it is incomplete, continuesFullRead decides.
-func (p *Planner) shouldRead(now cactuspin.Time, known tracker.Position, rank int, firstPageRead bool) bool {
-	if rank == 0 && !p.hasPrecedingLeader(now, known) {
-		return true
-	}
-	if !known.Complete {
-		return p.continuesFullRead(now, rank, firstPageRead)
-	}
-	if known.Age > p.c.MaxAge+time.Duration(rank)*rankDelay {
-		p.readUntil = now.Add(minReadTime)
-		return true
-	}
-	if p.hasReaderInstead(now, known.Era) {
-		p.readUntil = 0
-	}
-	return now < p.readUntil
-}
-
-// hasReaderInstead reports whether a host of this zone that takes precedence over
-// this one has fresh knowledge which another host read. Without this, all hosts
-// would go on reading after an outage of the store, when there is the most to read.
-func (p *Planner) hasReaderInstead(now cactuspin.Time, era cactuspin.Era) bool {
-	for a, x := range p.peers {
-		preceding := x.Zone == p.c.Self.Zone && !x.leaving && a.Less(p.c.Self.Address)
-		if preceding && now.Sub(x.lastBeacon) <= livenessTimeout && x.fresh(now, era, p.c.MaxAge) && x.reader.IsValid() && x.reader != p.c.Self.Address {
-			return true
-		}
-	}
-	return false
-}
-
-// hasPrecedingLeader reports whether a leader of another zone has fresh knowledge
-// and takes precedence over this host, because its address is lower or this
-// host's knowledge is too old.
-func (p *Planner) hasPrecedingLeader(now cactuspin.Time, known tracker.Position) bool {
-	for a, x := range p.peers {
-		if x.Zone == p.c.Self.Zone || x.leaving || now.Sub(x.lastBeacon) > livenessTimeout {
-			continue
-		}
-		if x.fresh(now, known.Era, p.c.MaxAge) && (a.Less(p.c.Self.Address) || known.Age > p.c.MaxAge) {
-			return true
-		}
-	}
-	return false
-}
-
-// fresh reports whether the host's knowledge is not too old. Knowledge of an era before
-// era, that of this host, is no longer current, however recent it is.
-func (x *peer) fresh(now cactuspin.Time, era cactuspin.Era, maxAge time.Duration) bool {
-	return x.era >= era && x.age+now.Sub(x.lastBeacon) <= maxAge
-}
-
 // newlyUnresponsive returns the hosts that were reported as new and whose
 // beacons have stopped.
 func (p *Planner) newlyUnresponsive(now cactuspin.Time) (hosts []netip.Addr) {
@@ -355,81 +292,6 @@
 	return alive
 }
 
-// zoneRecipients returns the hosts of this zone that get this host's beacons:
-// the first hosts send beacons to all others, the others only to the first.
-func (p *Planner) zoneRecipients(alive []netip.Addr, rank int) []netip.Addr {
-	if rank < hubCount {
-		return p.zonePeers()
-	}
-	return alive[:hubCount]
-}
-
-// zonePeers returns all peers of this zone, alive or not, sorted by address.
-func (p *Planner) zonePeers() (known []netip.Addr) {
-	for a, x := range p.peers {
-		if x.Zone == p.c.Self.Zone {
-			known = append(known, a)
-		}
-	}
-	sort.Slice(known, func(i, j int) bool { return known[i].Less(known[j]) })
-	return known
-}
-
-// remoteRecipients returns the first live host of each other zone. For a zone
-// without one, it returns a random host that is leaving or unresponsive, so that
-// contact can be restored.
-func (p *Planner) remoteRecipients(now cactuspin.Time) (to []netip.Addr) {
-	firstOf := map[cactuspin.ZoneID]netip.Addr{}
-	silentOf := map[cactuspin.ZoneID][]netip.Addr{}
-	for a, x := range p.peers {
-		if x.Zone == p.c.Self.Zone {
-			continue
-		}
-		if x.leaving || now.Sub(x.lastBeacon) > livenessTimeout {
-			silentOf[x.Zone] = append(silentOf[x.Zone], a)
-			continue
-		}
-		if b, ok := firstOf[x.Zone]; !ok || a.Less(b) {
-			firstOf[x.Zone] = a
-		}
-	}
-	for _, a := range firstOf {
-		to = append(to, a)
-	}
-	for _, z := range slices.Sorted(maps.Keys(silentOf)) {
-		if _, live := firstOf[z]; !live {
-			to = append(to, p.chooseSilent(silentOf[z]))
-		}
-	}
-	sort.Slice(to, func(i, j int) bool { return to[i].Less(to[j]) })
-	return to
-}
-
-// chooseSilent returns the host of a zone without contact that is tried next. Only the
-// zone's leader replies, so that every other try goes to one of the lowest addresses.
-// The others are tried too, since those may be gone.
-func (p *Planner) chooseSilent(silent []netip.Addr) netip.Addr {
-	sort.Slice(silent, func(i, j int) bool { return silent[i].Less(silent[j]) })
-	n := len(silent)
-	if p.random.IntN(2) == 0 {
-		n = min(n, hubCount)
-	}
-	return silent[p.random.IntN(n)]
-}
-
-// UpdateRecipients returns the hosts to which updates are pushed: the live
-// peers of this zone and, if this host is its leader, the recipients in other
-// zones.
-func (p *Planner) UpdateRecipients(now cactuspin.Time) (to []netip.Addr) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	to = p.zoneAlive(now)
-	if len(to) == 0 || p.c.Self.Address.Less(to[0]) {
-		to = append(to, p.remoteRecipients(now)...)
-	}
-	return to
-}
-
 // AlivePeers returns the number of other hosts that are alive.
 func (p *Planner) AlivePeers(now cactuspin.Time) (n int) {
 	p.mu.Lock()
