--- a/internal/standin/netemulator/testbed.go
+++ b/internal/standin/netemulator/testbed.go
@@ -245,6 +245,7 @@
 func (tb *Testbed) Run(ctx context.Context) Report {
 	time.AfterFunc(tb.cfg.Length/3, func() { tb.Drain(0) })
 	time.AfterFunc(tb.cfg.Length/2, tb.UpdateConfiguration)
+	defer tb.CloseStore()
 	return tb.RunTraffic(ctx)
 }
 
@@ -297,7 +298,8 @@
 }
 
 // RunTraffic runs the targets, routers and callers for the configured length and
-// returns the report.
+// returns the report. The store goes on until CloseStore, since hosts may still have to
+// learn of its last changes.
 func (tb *Testbed) RunTraffic(ctx context.Context) Report {
 	servingCtx, stopServing := context.WithCancel(ctx)
 	defer stopServing()
@@ -312,6 +314,8 @@
 		group.Go(func() { c.run(callerCtx, 400*time.Millisecond) })
 	}
 	group.Wait()
-	defer func() { _ = tb.storeServer.Close() }()
 	return tb.oracle.result(tb.targets, tb.store.CallCount())
 }
+
+// CloseStore ends the store.
+func (tb *Testbed) CloseStore() { _ = tb.storeServer.Close() }
--- a/internal/steering/balancer/resets.go
+++ b/internal/steering/balancer/resets.go
@@ -42,7 +42,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for k, f := range h.flows {
-		if f.target != t || !f.established || f.route.Kind == cactuspin.WorkNonIdempotent || !(dead || f.waits()) || !b.hasCapacityLocked(now, f.route) {
+		if f.target != t || !f.resettable(dead) || !b.routeHasCapacity(now, f.route) {
 			continue
 		}
 		resets = append(resets, Reset{Caller: k.caller.addrPort(), Service: k.service.addrPort(), Target: t.registered.ID, Acknowledgement: f.acknowledged})
@@ -52,11 +52,15 @@
 	return resets
 }
 
-// waits reports whether the caller has repeated the request in progress.
-func (f *flow) waits() bool { return f.requestedAt != 0 && f.retransmissions > 0 }
+// resettable reports whether the flow may be reset without a packet, because its target is
+// dead, or only down and the caller has repeated the request in progress.
+func (f *flow) resettable(dead bool) bool {
+	waits := f.requestedAt != 0 && f.retransmissions > 0
+	return f.established && f.route.Kind != cactuspin.WorkNonIdempotent && (dead || waits)
+}
 
-// hasCapacityLocked is hasCapacity for callers that hold the lock of a flow shard.
-func (b *Balancer) hasCapacityLocked(now cactuspin.Time, r *route) bool {
+// routeHasCapacity is hasCapacity for callers that do not hold b.mu.
+func (b *Balancer) routeHasCapacity(now cactuspin.Time, r *route) bool {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	return b.hasCapacity(now, r)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -105,6 +105,7 @@
 	if s.planned {
 		s.activeFaults.Go(func() { s.evacuateZones(time.Duration(seconds) * time.Second) })
 	}
+	defer s.testbed.CloseStore()
 	r := s.testbed.RunTraffic(ctx)
 	s.activeFaults.Wait()
 	s.checkReport(ctx, &r, checkTimeBounds)
