--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,10 @@
 demo-ho-chi-minh: build
 	bash demo/run.sh ho-chi-minh
 
+# Three packages at a time: the model checks use all cores, and the soak's bounds in seconds
+# need some of them.
 test:
-	go test ./...
+	go test -p 3 ./...
 
 matrix: build
 	bin/cactuspin-standin matrix test/matrix.yaml --bundle examples/lima-1.yaml --bundle examples/lima-2.yaml
