--- a/internal/app/entry/host.go
+++ b/internal/app/entry/host.go
@@ -146,8 +146,6 @@
 	}
 	for _, r := range out.Resets {
 		h.forwarder.Reset(r.Caller, r.Service, r.Acknowledgement)
-		h.common.Logger.Info("flow: reset", slog.String("caller", r.Caller.String()), slog.String("service", r.Service.String()),
-			slog.String("target", string(r.Target)), slog.String("reason", cactuspin.ReasonTargetDown.String()))
 	}
 	if out.Announce {
 		h.storeClient.Reannounce()
--- a/internal/app/operator/entry_command.go
+++ b/internal/app/operator/entry_command.go
@@ -107,18 +107,25 @@
 	err     error
 }
 
-// queryEntries asks hosts for their status. The answers are sorted by zone and name.
-func queryEntries(ctx context.Context, hosts []string) []entryAnswer {
-	answers := make([]entryAnswer, len(hosts))
+// askEach asks hosts, some at a time, and returns their answers in the order of the hosts.
+// An answer says itself what went wrong.
+func askEach[T any](hosts []string, query func(address string) T) []T {
+	answers := make([]T, len(hosts))
 	var g errgroup.Group
 	g.SetLimit(maxEntryQueries)
 	for i, h := range hosts {
 		g.Go(func() error {
-			answers[i] = queryEntry(ctx, h)
+			answers[i] = query(h)
 			return nil
 		})
 	}
-	_ = g.Wait() // No query returns an error: a host that does not answer is a row of the table.
+	_ = g.Wait() // No query returns an error.
+	return answers
+}
+
+// queryEntries asks hosts for their status. The answers are sorted by zone and name.
+func queryEntries(ctx context.Context, hosts []string) []entryAnswer {
+	answers := askEach(hosts, func(address string) entryAnswer { return queryEntry(ctx, address) })
 	slices.SortStableFunc(answers, func(a, b entryAnswer) int {
 		return cmp.Or(cmp.Compare(a.status.Zone, b.status.Zone), cmp.Compare(a.status.Host, b.status.Host), cmp.Compare(a.address, b.address))
 	})
--- a/internal/app/operator/where_command.go
+++ b/internal/app/operator/where_command.go
@@ -14,7 +14,6 @@
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/errgroup"
 
 	"github.com/cactuspin/cactuspin"
 	"github.com/cactuspin/cactuspin/internal/steering/balancer"
@@ -95,16 +94,7 @@
 // queryDecisions asks hosts for their explanations. Those that have one come first, sorted
 // by zone and name.
 func queryDecisions(ctx context.Context, hosts []string, q url.Values) []hostDecision {
-	decisions := make([]hostDecision, len(hosts))
-	var g errgroup.Group
-	g.SetLimit(maxEntryQueries)
-	for i, h := range hosts {
-		g.Go(func() error {
-			decisions[i] = queryDecision(ctx, h, q)
-			return nil
-		})
-	}
-	_ = g.Wait() // No query returns an error: what went wrong is part of the decision.
+	decisions := askEach(hosts, func(address string) hostDecision { return queryDecision(ctx, address, q) })
 	slices.SortStableFunc(decisions, func(a, b hostDecision) int {
 		if a.Explanation == nil || b.Explanation == nil {
 			return cmp.Or(strings.Compare(fmt.Sprint(a.Explanation == nil), fmt.Sprint(b.Explanation == nil)), strings.Compare(a.Address, b.Address))
--- a/internal/entry/engine/engine.go
+++ b/internal/entry/engine/engine.go
@@ -78,8 +78,6 @@
 	trustAfter cactuspin.Time
 	reading    bool
 	leaving    bool
-	// leader reports that this host is the leader of its zone.
-	leader bool
 	// cold and eligible are the numbers of cold targets with a limit and of hosts that may
 	// own them at the last tick.
 	cold, eligible int
@@ -143,7 +141,6 @@
 	}
 	out.Probes = append(out.Probes, e.balancer.DueProbes(now)...)
 	plan := e.planner.Tick(now, position, e.store.fullRead != nil)
-	e.leader = plan.Leader
 	e.setEligible(now, out)
 	for _, a := range plan.Unresponsive {
 		out.note(slog.LevelInfo, "peer: silent", slog.String("host", a.String()))
@@ -174,7 +171,11 @@
 		out.note(slog.LevelInfo, "target: condition changed", slog.String("target", string(p.Target)),
 			slog.String("address", p.Address.String()), slog.Bool("down", f != balancer.FindingAlive),
 			slog.String("probe", f.String()), slog.Duration("took", now.Sub(began)))
-		out.Resets = append(out.Resets, e.balancer.FlowsToReset(now, p.Target)...)
+		for _, r := range e.balancer.FlowsToReset(now, p.Target) {
+			out.Resets = append(out.Resets, r)
+			out.note(slog.LevelInfo, "flow: reset", slog.String("caller", r.Caller.String()), slog.String("service", r.Service.String()),
+				slog.String("target", string(r.Target)), slog.String("reason", cactuspin.ReasonTargetDown.String()))
+		}
 	}
 }
 
--- a/internal/entry/engine/peers.go
+++ b/internal/entry/engine/peers.go
@@ -54,7 +54,7 @@
 	if p.Era > 0 {
 		b.Version = p.RoutingVersion
 	}
-	if e.leader {
+	if e.planner.Leads() {
 		b.Eligible = e.eligibleHosts(now)
 	}
 	return b
--- a/internal/knowledge/encoder/hosts.go
+++ b/internal/knowledge/encoder/hosts.go
@@ -15,6 +15,10 @@
 // use of the set needs exact numbers.
 type HostSet [hostSetLength]byte
 
+// MinRankedHosts is the number of hosts from which those of a zone have ranks. Hosts of
+// smaller zones see enough of all targets.
+const MinRankedHosts = 8
+
 // HostRank is the place of a host among the hosts of its zone.
 type HostRank struct {
 	// Rank is the number of hosts before this one, Hosts the number of all; 0 if unknown.
--- a/internal/knowledge/planner/hosts.go
+++ b/internal/knowledge/planner/hosts.go
@@ -18,9 +18,6 @@
 	// changedShare is the change of the number of flows, as a share of them, from which
 	// they are sent with the next beacon: many callers have come at once.
 	changedShare = 0.2
-	// minZoneHosts is the number of hosts from which a zone's hosts exchange it. Hosts
-	// of smaller zones see enough of all targets.
-	minZoneHosts = 8
 )
 
 // ZoneShare is what a host knows about its place in the zone, and what its next beacon
@@ -84,7 +81,7 @@
 
 // sumShare adds up what the hosts of the zone have told.
 func (p *Planner) sumShare(now cactuspin.Time, alive []netip.Addr, own encoder.FlowCounts) (s ZoneShare) {
-	if len(alive)+1 < minZoneHosts {
+	if len(alive)+1 < encoder.MinRankedHosts {
 		return s
 	}
 	s.SentHosts = &encoder.HostSet{}
--- a/internal/knowledge/planner/planner.go
+++ b/internal/knowledge/planner/planner.go
@@ -192,6 +192,13 @@
 	p.members.add(now, b.Host.Address)
 }
 
+// Leads reports whether this host was the leader of its zone at the last tick.
+func (p *Planner) Leads() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leader
+}
+
 // BeginFetch reports whether missing knowledge may be fetched from a host now
 // and, if so, records the time of the fetch.
 func (p *Planner) BeginFetch(now cactuspin.Time, host netip.Addr) bool {
--- a/internal/knowledge/tracker/model_restore_test.go
+++ b/internal/knowledge/tracker/model_restore_test.go
@@ -176,18 +176,7 @@
 				return strings.Contains(s.name, "page") || strings.HasPrefix(s.name, "overwrite") || s.name == "forget" ||
 					(ofZone && !slices.Contains(start, "evacuate"))
 			})
-			orders, order := 1, make([]int, depth)
-			for range depth {
-				orders *= len(whole)
-			}
-			for n := range orders {
-				for i := range order {
-					order[i] = n % len(whole)
-					n /= len(whole)
-				}
-				play(t, whole, order, start)
-			}
-			t.Logf("%d orders of %d steps, %d kinds of steps", orders, depth, len(whole))
+			playAllOrders(t, whole, depth, start)
 		})
 	}
 }
--- a/internal/knowledge/tracker/model_test.go
+++ b/internal/knowledge/tracker/model_test.go
@@ -345,24 +345,29 @@
 	return ""
 }
 
-func TestAllOrdersOfStepsKeepKnowledgeSound(t *testing.T) {
-	steps, depth := modelSteps(), fromEnvironment("MODEL_DEPTH", defaultDepth)
-	orders := 1
+// playAllOrders plays all orders of a number of steps.
+func playAllOrders(t *testing.T, steps []step, depth int, start []string) {
+	t.Helper()
+	orders, order := 1, make([]int, depth)
 	for range depth {
 		orders *= len(steps)
 	}
+	for n := range orders {
+		for i := range order {
+			order[i] = n % len(steps)
+			n /= len(steps)
+		}
+		play(t, steps, order, start)
+	}
+	t.Logf("%d orders of %d steps, %d kinds of steps", orders, depth, len(steps))
+}
+
+func TestAllOrdersOfStepsKeepKnowledgeSound(t *testing.T) {
+	steps, depth := modelSteps(), fromEnvironment("MODEL_DEPTH", defaultDepth)
 	for name, start := range starts {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			order := make([]int, depth)
-			for n := range orders {
-				for i := range order {
-					order[i] = n % len(steps)
-					n /= len(steps)
-				}
-				play(t, steps, order, start)
-			}
-			t.Logf("%d orders of %d steps, %d kinds of steps", orders, depth, len(steps))
+			playAllOrders(t, steps, depth, start)
 		})
 	}
 }
--- a/internal/standin/metastore/metastore.go
+++ b/internal/standin/metastore/metastore.go
@@ -94,6 +94,11 @@
 
 func (s *Store) record(x item) {
 	s.history = append(s.history, x)
+	s.wakeWatches()
+}
+
+// wakeWatches lets the watches that wait look at the store again.
+func (s *Store) wakeWatches() {
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -110,8 +115,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.failing = failing
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wakeWatches()
 }
 
 // CallCount returns the number of calls received.
--- a/internal/standin/metastore/restore.go
+++ b/internal/standin/metastore/restore.go
@@ -45,8 +45,7 @@
 	s.era++
 	s.revision, s.compactedRevision = b.revision, b.compactedRevision
 	s.items, s.history, s.leases = maps.Clone(b.items), slices.Clone(b.history), maps.Clone(b.leases)
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.wakeWatches()
 }
 
 // Era returns the present era.
--- a/internal/standin/simulator/restore.go
+++ b/internal/standin/simulator/restore.go
@@ -12,33 +12,37 @@
 // evacuation again that a backup lacks.
 const rewriteTime = time.Second
 
-// content is what a backup of the store holds.
+// content is what the store holds, and a backup of it.
 type content struct {
-	revision, compactedRevision cactuspin.Revision
-	routing                     *cactuspin.Routing
-	targets                     map[cactuspin.TargetID]cactuspin.RegisteredTarget
-	unreadable                  map[cactuspin.TargetID]cactuspin.Revision
-	zones                       map[cactuspin.ZoneID]cactuspin.ZoneState
-	hosts                       []cactuspin.EntryHost
-	history                     []change
+	revision cactuspin.Revision
+	routing  *cactuspin.Routing
+	targets  map[cactuspin.TargetID]cactuspin.RegisteredTarget
+	// unreadable holds the revisions of the registrations that another writer replaced.
+	unreadable map[cactuspin.TargetID]cactuspin.Revision
+	zones      map[cactuspin.ZoneID]cactuspin.ZoneState
+	hosts      []cactuspin.EntryHost
+	history    []change
+	// compactedRevision is the revision after which history is kept.
+	compactedRevision cactuspin.Revision
+}
+
+func (c *content) clone() content {
+	x := *c
+	x.targets, x.unreadable, x.zones = maps.Clone(c.targets), maps.Clone(c.unreadable), maps.Clone(c.zones)
+	x.hosts, x.history = slices.Clone(c.hosts), slices.Clone(c.history)
+	return x
 }
 
 // backUp copies the content of the store.
 func (s *store) backUp() {
-	s.backup = &content{
-		revision: s.revision, compactedRevision: s.compactedRevision, routing: s.routing,
-		targets: maps.Clone(s.targets), unreadable: maps.Clone(s.unreadable), zones: maps.Clone(s.zones),
-		hosts: slices.Clone(s.hosts), history: slices.Clone(s.history),
-	}
+	b := s.clone()
+	s.backup = &b
 }
 
 // restore goes back to the backup, which may be restored again, and begins a new era.
 func (s *store) restore() {
-	b := s.backup
 	s.era++
-	s.revision, s.compactedRevision, s.routing = b.revision, b.compactedRevision, b.routing
-	s.targets, s.unreadable, s.zones = maps.Clone(b.targets), maps.Clone(b.unreadable), maps.Clone(b.zones)
-	s.hosts, s.history = slices.Clone(b.hosts), slices.Clone(b.history)
+	s.content = s.backup.clone()
 	for _, w := range s.pendingWatches {
 		s.sendResponse(w, nil, errUnavailable)
 	}
--- a/internal/standin/simulator/store.go
+++ b/internal/standin/simulator/store.go
@@ -44,19 +44,10 @@
 	sim *Simulation
 	// era is the era that answers name; 0 means that they name none.
 	era cactuspin.Era
+	content
 	// backup is the copy to which a restore goes back, or nil.
-	backup   *content
-	revision cactuspin.Revision
-	routing  *cactuspin.Routing
-	targets  map[cactuspin.TargetID]cactuspin.RegisteredTarget
-	// unreadable holds the revisions of the registrations that another writer replaced.
-	unreadable map[cactuspin.TargetID]cactuspin.Revision
-	zones      map[cactuspin.ZoneID]cactuspin.ZoneState
-	hosts      []cactuspin.EntryHost
-	history    []change
-	// compactedRevision is the revision after which history is kept.
-	compactedRevision cactuspin.Revision
-	pendingWatches    []*pendingCall
+	backup         *content
+	pendingWatches []*pendingCall
 	// unavailable reports that the store answers no host, refusedHosts those whose
 	// calls it rejects. If unresponsive is set, such hosts receive no answer at all
 	// instead of an error. watchesStalled withholds changes from watches.
@@ -75,7 +66,8 @@
 }
 
 func newStore(s *Simulation) *store {
-	return &store{sim: s, era: s.scenario.Era, revision: 7, compactedRevision: 7, targets: map[cactuspin.TargetID]cactuspin.RegisteredTarget{}, unreadable: map[cactuspin.TargetID]cactuspin.Revision{}, zones: map[cactuspin.ZoneID]cactuspin.ZoneState{}, refusedHosts: map[*host]bool{}}
+	c := content{revision: 7, compactedRevision: 7, targets: map[cactuspin.TargetID]cactuspin.RegisteredTarget{}, unreadable: map[cactuspin.TargetID]cactuspin.Revision{}, zones: map[cactuspin.ZoneID]cactuspin.ZoneState{}}
+	return &store{sim: s, era: s.scenario.Era, content: c, refusedHosts: map[*host]bool{}}
 }
 
 func (s *store) commit(c change) cactuspin.Revision {
--- a/internal/steering/balancer/even_load_test.go
+++ b/internal/steering/balancer/even_load_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-	"go.yaml.in/yaml/v3"
 
 	"github.com/cactuspin/cactuspin"
 	"github.com/cactuspin/cactuspin/internal/knowledge/encoder"
@@ -409,11 +408,7 @@
 // hosts that place flows by their own counts alone, or more often. CACTUSPIN_EVEN_LOAD_SEEDS
 // sets the number of runs of each load and includes the loads for long runs.
 func TestEvenLoad(t *testing.T) {
-	text, err := os.ReadFile("testdata/even_loads.yaml")
-	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	var loads []evenLoad
-	NewWithT(t).Expect(yaml.Unmarshal(text, &loads)).To(Succeed())
-	NewWithT(t).Expect(loads).NotTo(BeEmpty())
+	loads := readLoads[evenLoad](t, "testdata/even_loads.yaml")
 	seeds := 1
 	if s := os.Getenv("CACTUSPIN_EVEN_LOAD_SEEDS"); s != "" {
 		_, err := fmt.Sscan(s, &seeds)
--- a/internal/steering/balancer/explain_target.go
+++ b/internal/steering/balancer/explain_target.go
@@ -147,7 +147,7 @@
 func (s *slowness) age(now cactuspin.Time) *float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return ageOf(now, s.updated)
+	return ageOf(now, s.excess.updated)
 }
 
 // ageOf returns the time since at in seconds, or nil if at is 0.
--- a/internal/steering/balancer/health.go
+++ b/internal/steering/balancer/health.go
@@ -152,11 +152,6 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	before := h.condition
-	defer func() {
-		if before < down && h.condition >= down {
-			h.probationUntil = now.Add(probationTime)
-		}
-	}()
 	if f != FindingNone {
 		h.refused = f == FindingRefused
 	}
@@ -169,21 +164,30 @@
 	case f == FindingNone || before == healthy || h.lastAlive >= began:
 		return false
 	case f == FindingRefused:
-		h.condition, h.foundDownAt = dead, now
+		h.findDown(now, dead)
 	default:
 		h.silentProbes++
 		if now < h.reportedUntil {
 			// Another host's probe was silent, too.
 			h.silentProbes++
 		}
-		h.condition, h.foundDownAt = max(h.condition, down), now
 		if h.silentProbes >= silentProbesUntilDead {
-			h.condition = dead
+			h.findDown(now, dead)
+		} else {
+			h.findDown(now, down)
 		}
 	}
 	return h.condition != before
 }
 
+// findDown records that a probe found the target down or dead. A dead target stays dead.
+func (h *health) findDown(now cactuspin.Time, c condition) {
+	if h.condition < down {
+		h.probationUntil = now.Add(probationTime)
+	}
+	h.condition, h.foundDownAt = max(h.condition, c), now
+}
+
 // contradicts reports whether this host knows better than a report that the target
 // was found down at some time.
 func (h *health) contradicts(now, foundDownAt cactuspin.Time) bool {
--- a/internal/steering/balancer/load_test.go
+++ b/internal/steering/balancer/load_test.go
@@ -267,11 +267,19 @@
 	return sum
 }
 
+// readLoads reads the loads of a file, of which there is at least one.
+func readLoads[T any](t *testing.T, path string) (loads []T) {
+	t.Helper()
+	g := NewWithT(t)
+	text, err := os.ReadFile(path)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(yaml.Unmarshal(text, &loads)).To(Succeed())
+	g.Expect(loads).NotTo(BeEmpty())
+	return loads
+}
+
 func TestLoads(t *testing.T) {
-	text, err := os.ReadFile("testdata/loads.yaml")
-	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	var loads []load
-	NewWithT(t).Expect(yaml.Unmarshal(text, &loads)).To(Succeed())
+	loads := readLoads[load](t, "testdata/loads.yaml")
 	NewWithT(t).Expect(slices.IndexFunc(loads, func(l load) bool { return l.MinGain > 0 })).To(BeNumerically(">=", 0))
 	for _, l := range loads {
 		t.Run(l.Name, func(t *testing.T) {
--- a/internal/steering/balancer/partition.go
+++ b/internal/steering/balancer/partition.go
@@ -19,9 +19,6 @@
 // although callers choose their hosts unevenly. docs/design/even-load.md has the alternatives.
 
 const (
-	// minPartitionHosts is the number of hosts of a zone from which its targets are
-	// partitioned. Hosts of smaller zones see enough of all targets.
-	minPartitionHosts = 8
 	// maxTargetsPerHost is the number of targets per host up to which they are
 	// partitioned, so that each is among the candidates of two hosts at least.
 	maxTargetsPerHost = maxCandidates / 2
@@ -64,7 +61,7 @@
 
 // newPartition returns the part of the host with a rank, or none if the zone is small.
 func newPartition(r encoder.HostRank, targets int) partition {
-	if r.Hosts < minPartitionHosts || targets == 0 || targets > maxTargetsPerHost*r.Hosts {
+	if r.Hosts < encoder.MinRankedHosts || targets == 0 || targets > maxTargetsPerHost*r.Hosts {
 		return partition{}
 	}
 	width := float64(targets) / float64(r.Hosts)
@@ -147,7 +144,7 @@
 	for _, t := range z.targets {
 		flows += t.allFlows()
 		if t.usable(now) {
-			capacity += float64(t.registered.Slots) / flowWeight(t.slowness.speed.factor(now))
+			capacity += float64(t.registered.Slots) / flowWeight(t.slowness.speedFactor(now))
 			slots += float64(t.registered.Slots)
 		}
 	}
@@ -220,7 +217,7 @@
 	for _, t := range z.targets {
 		flows += t.allFlows()
 		if t.usable(now) {
-			highest = max(highest, t.allFlows()*flowWeight(t.slowness.speed.factor(now))*referenceSlots/float64(max(1, t.registered.Slots)))
+			highest = max(highest, t.allFlows()*flowWeight(t.slowness.speedFactor(now))*referenceSlots/float64(max(1, t.registered.Slots)))
 		}
 	}
 	if z.partition.level > 0 {
@@ -273,7 +270,7 @@
 	if !p.active() {
 		return t.load(now)
 	}
-	factor := t.slowness.speed.factor(now)
+	factor := t.slowness.speedFactor(now)
 	if t.cold(now) {
 		factor = max(factor, warmupPenalty)
 	}
--- a/internal/steering/balancer/resets.go
+++ b/internal/steering/balancer/resets.go
@@ -27,7 +27,7 @@
 	b.mu.RLock()
 	t := b.targets[id]
 	b.mu.RUnlock()
-	if t == nil || !t.health.isDown() {
+	if t == nil || t.flows.Load() == 0 || !t.health.isDown() {
 		return nil
 	}
 	dead := t.health.isDead()
--- a/internal/steering/balancer/service.go
+++ b/internal/steering/balancer/service.go
@@ -1,10 +1,10 @@
 package balancer
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
-	"sort"
 
 	"github.com/cactuspin/cactuspin"
 	"github.com/cactuspin/cactuspin/internal/knowledge/encoder"
@@ -56,15 +56,27 @@
 	partition partition
 }
 
+// findZone returns the index of a zone, or where it belongs, and whether it exists.
+func (v *service) findZone(name cactuspin.ZoneID) (i int, found bool) {
+	return slices.BinarySearchFunc(v.zones, name, func(z *zone, name cactuspin.ZoneID) int { return cmp.Compare(z.name, name) })
+}
+
+// existingZone returns a zone of the service, or nil.
+func (v *service) existingZone(name cactuspin.ZoneID) *zone {
+	if i, found := v.findZone(name); found {
+		return v.zones[i]
+	}
+	return nil
+}
+
+// zone returns a zone of the service, which it adds if there is none.
 func (v *service) zone(name cactuspin.ZoneID) *zone {
-	i := sort.Search(len(v.zones), func(i int) bool { return v.zones[i].name >= name })
-	if i < len(v.zones) && v.zones[i].name == name {
+	i, found := v.findZone(name)
+	if found {
 		return v.zones[i]
 	}
 	z := &zone{name: name, subject: subjectOf(v.name, name), evacuation: v.evacuations.of(name), slots: -1}
-	v.zones = append(v.zones, nil)
-	copy(v.zones[i+1:], v.zones[i:])
-	v.zones[i] = z
+	v.zones = slices.Insert(v.zones, i, z)
 	return z
 }
 
--- a/internal/steering/balancer/slowness.go
+++ b/internal/steering/balancer/slowness.go
@@ -51,24 +51,40 @@
 	return ratio
 }
 
+// decayingExcess is the running mean of a ratio, as the difference to 1, to which it
+// returns with a half-life.
+type decayingExcess struct {
+	// value is the difference at the time updated.
+	value   float64
+	updated cactuspin.Time
+}
+
+func (x *decayingExcess) at(now cactuspin.Time, halfLife time.Duration) float64 {
+	if x.value == 0 {
+		return 0
+	}
+	return x.value * math.Exp2(-now.Sub(x.updated).Seconds()/halfLife.Seconds())
+}
+
+func (x *decayingExcess) record(now cactuspin.Time, halfLife time.Duration, ratio, weight float64) {
+	excess := x.at(now, halfLife)
+	x.value, x.updated = excess+(ratio-1-excess)*weight, now
+}
+
 // slowness is the running mean of a target's response times relative to the means of
 // their routes. It is safe for concurrent use.
 type slowness struct {
-	mu sync.Mutex
-	// excess is the difference to 1 at the time updated.
-	excess  float64
-	updated cactuspin.Time
-	speed   speed
+	mu     sync.Mutex
+	excess decayingExcess
+	speed  speed
 }
 
 // record records the ratio of a response time to the mean of its route.
 func (s *slowness) record(now cactuspin.Time, ratio float64) {
-	s.speed.record(now, ratio)
-	ratio = max(minSlowness, min(maxSlowness, ratio))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	excess := s.decayed(now)
-	s.excess, s.updated = excess+(ratio-1-excess)*slownessWeight, now
+	s.speed.record(now, ratio)
+	s.excess.record(now, slownessHalfLife, max(minSlowness, min(maxSlowness, ratio)), slownessWeight)
 }
 
 // factor returns the factor by which requests take longer at the target than at
@@ -76,22 +92,14 @@
 func (s *slowness) factor(now cactuspin.Time) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if excess := s.decayed(now); math.Abs(excess) > negligibleExcess {
+	if excess := s.excess.at(now, slownessHalfLife); math.Abs(excess) > negligibleExcess {
 		return 1 + excess
 	}
 	return 1
 }
 
 func (s *slowness) reset() {
-	s.speed.reset()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.excess = 0
-}
-
-func (s *slowness) decayed(now cactuspin.Time) float64 {
-	if s.excess == 0 {
-		return 0
-	}
-	return s.excess * math.Exp2(-now.Sub(s.updated).Seconds()/slownessHalfLife.Seconds())
+	s.excess.value, s.speed = 0, speed{}
 }
--- a/internal/steering/balancer/speed.go
+++ b/internal/steering/balancer/speed.go
@@ -1,8 +1,6 @@
 package balancer
 
 import (
-	"math"
-	"sync"
 	"time"
 
 	"github.com/cactuspin/cactuspin"
@@ -21,41 +19,22 @@
 )
 
 // speed is the mean ratio of a target's response times to those of its routes. It
-// remembers for longer than slowness, so that lasting differences between targets show. It
-// is safe for concurrent use.
+// remembers for longer than slowness, so that lasting differences between targets show.
+// The lock of the slowness guards it.
 type speed struct {
-	mu      sync.Mutex
-	excess  float64
-	count   int
-	updated cactuspin.Time
+	excess decayingExcess
+	count  int
 }
 
 func (s *speed) record(now cactuspin.Time, ratio float64) {
-	ratio = max(minSpeed, min(maxSpeed, ratio))
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.count++
-	excess := s.decayed(now)
-	s.excess = excess + (ratio-1-excess)*max(minSpeedWeight, 1/float64(s.count+speedPrior))
-	s.updated = now
-}
-
-// factor returns the factor by which requests take longer at the target than at others.
-func (s *speed) factor(now cactuspin.Time) float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return 1 + s.decayed(now)
+	s.excess.record(now, speedHalfLife, max(minSpeed, min(maxSpeed, ratio)), max(minSpeedWeight, 1/float64(s.count+speedPrior)))
 }
 
-func (s *speed) reset() {
+// speedFactor returns the factor by which requests have lately taken longer at the target
+// than at others, over a minute rather than seconds.
+func (s *slowness) speedFactor(now cactuspin.Time) float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.excess, s.count = 0, 0
-}
-
-func (s *speed) decayed(now cactuspin.Time) float64 {
-	if s.excess == 0 {
-		return 0
-	}
-	return s.excess * math.Exp2(-now.Sub(s.updated).Seconds()/speedHalfLife.Seconds())
+	return 1 + s.speed.excess.at(now, speedHalfLife)
 }
--- a/internal/steering/balancer/warmup.go
+++ b/internal/steering/balancer/warmup.go
@@ -268,16 +268,6 @@
 	return nil
 }
 
-// existingZone returns a zone of the service, or nil.
-func (v *service) existingZone(name cactuspin.ZoneID) *zone {
-	for _, z := range v.zones {
-		if z.name == name {
-			return z
-		}
-	}
-	return nil
-}
-
 // hasCold reports whether a service to which a route leads has cold targets with a limit.
 func (b *Balancer) hasCold(r *route) bool {
 	return slices.ContainsFunc(r.Services, func(w cactuspin.WeightedService) bool {
