review: cold endpoints get too many requests after a zone's return and a kill

All hosts are killed 0.1 s after a zone was taken back. The new ones take its cold endpoints for warm until their entries say otherwise.

Cause: neither the store nor entries from before the return show it, and a starting host does not wait for either a peer or a fresh entry.

The stand-ins count opening packets for it.

--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"time"
 )
 
@@ -13,13 +14,17 @@
 			run:   runForeignEntry,
 		},
 		"cold-zone": {
-			shape: shape{desks: [3]int{1, 1, 1}, shelves: [3]int{0, 1, 1}, workTime: 10 * time.Millisecond, warmup: 15 * time.Second, warmupRate: 5},
+			shape: shape{desks: [3]int{1, 1, 1}, shelves: [3]int{0, 1, 1}, workTime: 10 * time.Millisecond, limited: shelf, warmup: 15 * time.Second, warmupRate: 5},
 			run:   runColdZone,
 		},
 		"draining": {
 			shape: shape{desks: [3]int{1, 1, 1}, shelves: [3]int{1, 1, 1}, workTime: 20 * time.Millisecond},
 			run:   runDraining,
 		},
+		"zone-return": {
+			shape: shape{desks: [3]int{3, 2, 2}, shelves: [3]int{1, 1, 1}, workTime: 10 * time.Millisecond, limited: desk, warmup: 5 * time.Second, warmupRate: 5},
+			run:   runZoneReturn,
+		},
 	}
 }
 
@@ -128,7 +133,7 @@
 	if trouble {
 		d.outage()
 	} else {
-		time.Sleep(4500 * time.Millisecond)
+		time.Sleep(outageLength)
 	}
 	time.Sleep(500 * time.Millisecond)
 	for i, f := range flows {
@@ -139,6 +144,9 @@
 	return nil
 }
 
+// outageLength is the length of an outage of the store.
+const outageLength = 4500 * time.Millisecond
+
 // outage makes the store reject all calls for 4.5 s. The entries expire after three
 // heartbeats; the endpoints write them again 1 to 1.8 s after the store's return.
 func (d *deployment) outage() {
@@ -151,7 +159,7 @@
 	for _, e := range d.endpoints {
 		e.lapse()
 	}
-	time.Sleep(4500*time.Millisecond - 3*heartbeatInterval)
+	time.Sleep(outageLength - 3*heartbeatInterval)
 	d.store.SetFailing(false)
 	d.rec.add("the store is back")
 	for i, e := range d.endpoints {
@@ -163,3 +171,55 @@
 		})
 	}
 }
+
+// Numbers of the rule on cold endpoints: warmup_overrun and warmup_slack of the settings.
+const (
+	warmupOverrun = 1.5
+	warmupSlack   = 5
+)
+
+// runZoneReturn evacuates a zone and takes it back, six times. Its endpoints are cold then.
+// A tenth of a second after each return all hosts are killed.
+func runZoneReturn(ctx context.Context, d *deployment, trouble bool) error {
+	trafficCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for i := range 3 {
+		r, err := d.newRequester(0, i)
+		if err != nil {
+			return err
+		}
+		d.single(trafficCtx, r, order, 40)
+	}
+	s := scenarios()["zone-return"].shape
+	limit := int(s.warmupRate*warmupOverrun + warmupSlack)
+	for range 6 {
+		time.Sleep(2 * time.Second)
+		d.rec.add("zone %s is evacuated", zoneName(0))
+		d.store.Put("op/evacuate/"+zoneName(0), []byte("{}"))
+		// Returns come at any time between two heartbeats.
+		time.Sleep(4*time.Second + rand.N(heartbeatInterval))
+		d.rec.add("zone %s is taken back", zoneName(0))
+		d.store.Remove("op/evacuate/" + zoneName(0))
+		returned := time.Now()
+		for _, e := range d.endpointsOf(desk, 0) {
+			e.coolDown(s.warmup)
+		}
+		time.Sleep(100 * time.Millisecond)
+		if trouble {
+			for _, h := range d.hosts {
+				h.kill()
+			}
+		}
+		time.Sleep(s.warmup)
+		for _, e := range d.endpointsOf(desk, 0) {
+			most := d.traffic.mostInASecond(e, returned, returned.Add(s.warmup))
+			d.rec.add("endpoint %s: at most %d new flows in a second while cold, limit %d", e.id, most, limit)
+			if most > limit {
+				d.rec.violation("FAILBACK: cold endpoint %s got %d requests in one second, %d are allowed", e.id, most, limit)
+			}
+		}
+	}
+	cancel()
+	d.group.Wait()
+	return nil
+}
--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -67,8 +67,9 @@
 type shape struct {
 	// desks and shelves are the numbers of endpoints of the services in each zone.
 	desks, shelves [3]int
-	// warmup is the time for which endpoints of the shelf are cold, or 0 without a limit;
-	// warmupRate is what a cold one bears in a second.
+	// limited is the service whose cold endpoints have a limit, warmup the time for which
+	// they are cold, warmupRate what a cold one bears in a second.
+	limited    string
 	warmup     time.Duration
 	warmupRate float64
 	workTime   time.Duration
@@ -152,12 +153,13 @@
 			"timeout_ms": 3000, "target_latency_ms": 300, "priority": 1, "service": d.traffic.routes[name], "max_attempts": 2,
 		})
 	}
-	services := []map[string]any{
-		{"name": desk, "health_path": "/health", "max_conns": 2000, "protocol": "h1", "tls": false},
-		{"name": shelf, "health_path": "/health", "max_conns": 2000, "protocol": "h1", "tls": false},
-	}
-	if s.warmup > 0 {
-		services[1]["warmup_s"], services[1]["warmup_per_s"] = s.warmup.Seconds(), s.warmupRate
+	var services []map[string]any
+	for _, name := range []string{desk, shelf} {
+		v := map[string]any{"name": name, "health_path": "/health", "max_conns": 2000, "protocol": "h1", "tls": false}
+		if name == s.limited {
+			v["warmup_s"], v["warmup_per_s"] = s.warmup.Seconds(), s.warmupRate
+		}
+		services = append(services, v)
 	}
 	b, err := json.Marshal(map[string]any{"version": 6, "routes": routes, "services": services, "limits": map[string]int{"idle_timeout_ms": 15000}})
 	if err != nil {
--- a/review/standin2/endpoint.go
+++ b/review/standin2/endpoint.go
@@ -24,7 +24,9 @@
 	// seq is the number of the endpoint's next byte, expected that of the next data.
 	seq, echo, initial, expected uint32
 	open                         bool
-	response                     []packet
+	// took is the opening packet that the endpoint took.
+	took     opening
+	response []packet
 }
 
 // endpoint is a server: it runs the requests of the flows that it has accepted.
@@ -33,22 +35,24 @@
 	number            uint64
 	address           netip.AddrPort
 	workTime          time.Duration
-	store             *metastore.Store
-	rec               *recorder
-	traffic           *traffic
-	packetPort        uint16
-	socket            *net.UDPConn
-	listener          net.Listener
+	// warmup is how long the endpoint is cold after its start.
+	warmup     time.Duration
+	store      *metastore.Store
+	rec        *recorder
+	traffic    *traffic
+	packetPort uint16
+	socket     *net.UDPConn
+	listener   net.Listener
 
 	mu      sync.Mutex
 	flows   map[netip.AddrPort]*endpointFlow
 	state   string
 	started time.Time
-	// warmup is how long the endpoint is cold after its start.
-	warmup time.Duration
-	count  int
-	// overwritten reports that the entry in the store is not the endpoint's own.
-	overwritten bool
+	// coldUntil is when the endpoint has warmed up.
+	coldUntil time.Time
+	count     int
+	// outdated reports that the entry in the store is not what the endpoint has to say.
+	outdated bool
 	// offline reports that the store takes no writes.
 	offline bool
 	// closing makes the endpoint end each flow after its next answer.
@@ -65,6 +69,7 @@
 		return err
 	}
 	e.flows, e.state, e.started = map[netip.AddrPort]*endpointFlow{}, "ready", time.Now()
+	e.coldUntil = e.started.Add(e.warmup)
 	e.register()
 	go e.acceptConnections()
 	go e.receive()
@@ -110,7 +115,7 @@
 // entry returns the registration.
 func (e *endpoint) entry() map[string]any {
 	e.count++
-	left := max(0, e.warmup-time.Since(e.started))
+	left := max(0, time.Until(e.coldUntil))
 	return map[string]any{
 		"service": e.service, "address": e.address.String(), "zone": e.zone, "version": "v1", "slots": 3,
 		"state": e.state, "warmup_left_ms": left.Milliseconds(), "seq_no": e.count, "born": e.started.UnixMilli(),
@@ -122,14 +127,15 @@
 	if err != nil {
 		return
 	}
-	e.overwritten = false
+	e.outdated = false
 	e.store.Put("servers/"+e.id, b)
 	e.rec.add("endpoint %s writes its entry: %s", e.id, b)
 }
 
-// beat writes the entry again if it is not the endpoint's own any more. The store does not
-// count a change of seq_no alone as a change.
+// beat writes the entry again if it has to change. The store does not count a change of
+// seq_no alone as a change. The beats of the endpoints do not coincide.
 func (e *endpoint) beat(ctx context.Context) {
+	time.Sleep(rand.N(heartbeatInterval))
 	t := time.NewTicker(heartbeatInterval)
 	defer t.Stop()
 	for {
@@ -139,7 +145,7 @@
 		case <-t.C:
 		}
 		e.mu.Lock()
-		if e.overwritten && !e.offline {
+		if e.outdated && !e.offline {
 			e.register()
 		}
 		e.mu.Unlock()
@@ -158,11 +164,19 @@
 	if err != nil {
 		return
 	}
-	e.overwritten = true
+	e.outdated = true
 	e.store.Put("servers/"+e.id, b)
 	e.rec.add("another writer replaces the entry of %s: %s", e.id, b)
 }
 
+// coolDown makes the endpoint cold. Its next heartbeat says so.
+func (e *endpoint) coolDown(warmup time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.coldUntil, e.outdated = time.Now().Add(warmup), true
+	e.rec.add("endpoint %s is cold for %s", e.id, warmup)
+}
+
 // drain reports draining. The endpoint goes on serving.
 func (e *endpoint) drain() {
 	e.mu.Lock()
@@ -182,7 +196,7 @@
 func (e *endpoint) lapse() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.overwritten = true
+	e.outdated = true
 	e.store.Remove("servers/" + e.id)
 	e.rec.add("entry of %s has expired", e.id)
 }
@@ -201,7 +215,7 @@
 	}
 	if f != nil && !f.open && p.ack == f.seq {
 		f.open = true
-		e.traffic.opened(e, p)
+		e.traffic.opened(e, p, f.took)
 	}
 	switch {
 	case f == nil || !f.open:
@@ -223,7 +237,7 @@
 		return
 	}
 	if f == nil || f.initial != p.seq {
-		f = &endpointFlow{seq: rand.Uint32(), initial: p.seq, expected: p.seq + 1}
+		f = &endpointFlow{seq: rand.Uint32(), initial: p.seq, expected: p.seq + 1, took: e.traffic.openingOf(p)}
 		e.flows[p.from] = f
 		f.seq++
 	}
--- a/review/standin2/host.go
+++ b/review/standin2/host.go
@@ -29,7 +29,8 @@
 
 	mu      sync.Mutex
 	command *exec.Cmd
-	stopped bool
+	// asked reports that the present end of the process is part of the case.
+	asked, stopped bool
 	// ownEnds counts the ends that nobody asked for.
 	ownEnds int
 	ended   chan struct{}
@@ -52,7 +53,7 @@
 	if err := c.Start(); err != nil {
 		return err
 	}
-	h.command, h.ended = c, make(chan struct{})
+	h.command, h.asked, h.ended = c, false, make(chan struct{})
 	h.rec.add("host %s started", h.name)
 	go h.wait(c, log, h.ended)
 	return nil
@@ -63,7 +64,7 @@
 	err := c.Wait()
 	_ = log.Close()
 	h.mu.Lock()
-	if !h.stopped {
+	if !h.stopped && !h.asked {
 		h.ownEnds++
 		h.rec.add("host %s ended by itself: %v: %s", h.name, err, h.lastPanic())
 	} else {
@@ -97,6 +98,15 @@
 	return strings.Join(lines, " | ")
 }
 
+// kill kills the process, which is started again.
+func (h *host) kill() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rec.add("host %s is killed", h.name)
+	h.asked = true
+	_ = h.command.Process.Kill()
+}
+
 // stop ends the process for good.
 func (h *host) stop() {
 	h.mu.Lock()
@@ -132,7 +142,7 @@
 bootstrap: true
 limits: {cpu_share: 0.4, cores: 1, memory_mb: 284, max_fds: 4100, link_mbps: 1000.0, disk_mb: 0}
 heartbeat_ms: 1200
-bounds: {seed_lag_s: 3, addr_reuse_s: 2, stable_ms: 4000, ack_ms: 5000, catch_up_s: 4, drain_ms: 3000, grace_s: 6, config_apply_ms: 3000, rollback_slack_ms: 250, stretch_max_ms: 12000, recovery_s: 12, flow_reorder_ms: 2000, flow_max_s: 60}
+bounds: {seed_lag_s: 3, addr_reuse_s: 2, stable_ms: 4000, ack_ms: 5000, catch_up_s: 4, drain_ms: 3000, grace_s: 6, warmup_overrun: 1.5, warmup_slack: 5, evacuation_ms: 5000, config_apply_ms: 3000, rollback_slack_ms: 250, stretch_max_ms: 12000, recovery_s: 12, flow_reorder_ms: 2000, flow_max_s: 60}
 hash_scheme: "steady"
 topology: "echo"
 platform: {address: "%[8]s", topology: "kv", writes_per_s: 400, reads_per_s: 2000, history_s: 20, value_bytes: 1048576, ttl_min_ms: 1000}
--- a/review/standin2/requester.go
+++ b/review/standin2/requester.go
@@ -117,6 +117,7 @@
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
 	for copies, wait := range []time.Duration{firstRetransmit, 2 * firstRetransmit, openTimeout} {
+		f.r.traffic.sending(f.local, uint32(copies))
 		f.send(bitSYN, uint32(copies), nil)
 		p, ok := f.next(ctx, wait, func(p *packet) bool { return p.flags == bitSYN|bitACK })
 		if f.reset || ctx.Err() != nil {
--- a/review/standin2/traffic.go
+++ b/review/standin2/traffic.go
@@ -3,8 +3,18 @@
 import (
 	"net/netip"
 	"sync"
+	"time"
 )
 
+// opening is an opening packet: when its requester sent it, and when it arrived.
+type opening struct{ sent, arrived time.Time }
+
+// copyKey identifies an opening packet and its copies by their number.
+type copyKey struct {
+	flow   netip.AddrPort
+	copies uint32
+}
+
 // traffic knows what requesters and endpoints have seen of the flows.
 type traffic struct {
 	rec *recorder
@@ -16,6 +26,8 @@
 	mu       sync.Mutex
 	openAt   map[netip.AddrPort]*endpoint
 	byAddr   map[netip.AddrPort]*endpoint
+	sent     map[copyKey]time.Time
+	openings map[*endpoint][]opening
 	answered int
 	failed   int
 }
@@ -23,7 +35,7 @@
 func newTraffic(rec *recorder, routes map[string]string) *traffic {
 	return &traffic{
 		rec: rec, routes: routes, openAt: map[netip.AddrPort]*endpoint{},
-		byAddr: map[netip.AddrPort]*endpoint{},
+		byAddr: map[netip.AddrPort]*endpoint{}, sent: map[copyKey]time.Time{}, openings: map[*endpoint][]opening{},
 	}
 }
 
@@ -34,10 +46,47 @@
 }
 
 // opened records that a flow has opened: its endpoint has the end of the handshake.
-func (t *traffic) opened(e *endpoint, p *packet) {
+func (t *traffic) opened(e *endpoint, p *packet, o opening) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.openAt[p.from] = e
+	t.openings[e] = append(t.openings[e], o)
+}
+
+// sending records that a requester sends an opening packet or a copy of it.
+func (t *traffic) sending(local netip.AddrPort, copies uint32) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sent[copyKey{local, copies}] = time.Now()
+}
+
+// openingOf returns the opening packet p that arrives now.
+func (t *traffic) openingOf(p *packet) opening {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return opening{t.sent[copyKey{p.from, p.ack}], time.Now()}
+}
+
+// mostInASecond returns the highest number of flows opened at an endpoint whose opening
+// packets were sent and arrived within one second of a span of time.
+func (t *traffic) mostInASecond(e *endpoint, from, to time.Time) (most int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, first := range t.openings[e] {
+		begin := first.sent
+		end := begin.Add(time.Second)
+		if begin.Before(from) || end.After(to) {
+			continue
+		}
+		n := 0
+		for _, o := range t.openings[e] {
+			if !o.sent.Before(begin) && o.arrived.Before(end) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
 }
 
 func (t *traffic) closed(p *packet) {
