--- a/review/standin2/deployment.go
+++ b/review/standin2/deployment.go
@@ -264,6 +264,15 @@
 	}
 }
 
+// evacuate evacuates a zone and takes it back.
+func (d *deployment) evacuate(zone int, length time.Duration) {
+	d.rec.add("zone %s is evacuated", zoneName(zone))
+	d.store.Put("op/evacuate/"+zoneName(zone), []byte("{}"))
+	time.Sleep(length)
+	d.rec.add("zone %s is taken back", zoneName(zone))
+	d.store.Remove("op/evacuate/" + zoneName(zone))
+}
+
 // stop ends all processes and removes the folder.
 func (d *deployment) stop() {
 	for _, h := range d.hosts {
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -6,6 +6,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -44,6 +46,7 @@
 	d, err := newDeployment(ctx, rec, &s.shape)
 	if d != nil {
 		defer d.stop()
+		stopOnSignal(d)
 	}
 	if err == nil {
 		err = s.run(ctx, d, os.Getenv("TROUBLE") != "0")
@@ -57,3 +60,14 @@
 	rec.add("requests answered: %d, not answered: %d", d.traffic.answered, d.traffic.failed)
 	return rec.close()
 }
+
+// stopOnSignal ends all processes if the case is asked to end.
+func stopOnSignal(d *deployment) {
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-asked
+		d.stop()
+		os.Exit(exitNotRun)
+	}()
+}
